--- /dev/null
+++ b/cmd/adapter/main.go
@@ -0,0 +1,18 @@
+// Command adapter runs decision modules on the bench's wire, over standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/lynxjunction/lynxjunction/internal/wire"
+)
+
+func main() {
+	debug.SetGCPercent(800) // small heaps: collecting seldom costs little memory and saves decision time
+	if err := wire.NewHub(os.Stdin, os.Stdout).Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "adapter:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,326 @@
+// Package wire turns the bench's lines into calls of the decision module and its calls into lines.
+// It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+// Hub hosts the instances of one process; they share nothing but the stream.
+type Hub struct {
+	in        *bufio.Reader
+	out       *bufio.Writer
+	parser    fastjson.Parser
+	lists     map[int]*inventory
+	instances map[int]*instance
+	long      []byte
+	line      int
+	now       logic.Millis
+}
+
+// inventory keeps its own parser, since its values live on after the next line is read.
+type inventory struct {
+	parser  fastjson.Parser
+	entries []*fastjson.Value
+}
+
+func NewHub(in io.Reader, out io.Writer) *Hub {
+	return &Hub{
+		in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<20),
+		lists: map[int]*inventory{}, instances: map[int]*instance{},
+	}
+}
+
+// Run serves batches until the input ends between two of them.
+func (h *Hub) Run() error {
+	inBatch := false
+	for {
+		text, err := h.readLine()
+		if errors.Is(err, io.EOF) && len(text) == 0 {
+			if inBatch {
+				return fmt.Errorf("line %d: input ended inside a batch", h.line+1)
+			}
+			return nil
+		}
+		h.line++
+		if err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("line %d: %w", h.line, err)
+		}
+		v, err := h.parser.ParseBytes(text)
+		if err != nil {
+			return fmt.Errorf("line %d: not JSON: %w", h.line, err)
+		}
+		switch msg := v.GetStringBytes("msg"); string(msg) {
+		case "SYNC":
+			inBatch, h.now = true, millis(v, "moment")
+		case "EOB":
+			inBatch = false
+			if _, err := h.out.WriteString("{\"msg\":\"OK\"}\n"); err != nil {
+				return err
+			}
+			if err := h.out.Flush(); err != nil {
+				return err
+			}
+		case "INVENTORY":
+			if err := h.inventory(v.GetInt("ref"), text); err != nil {
+				return err
+			}
+		default:
+			h.deliver(string(msg), v)
+		}
+	}
+}
+
+func (h *Hub) readLine() ([]byte, error) {
+	text, err := h.in.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return text, err
+	}
+	h.long = append(h.long[:0], text...)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		text, err = h.in.ReadSlice('\n')
+		h.long = append(h.long, text...)
+	}
+	return h.long, err
+}
+
+func (h *Hub) inventory(ref int, text []byte) error {
+	list := h.lists[ref]
+	if list == nil {
+		list = &inventory{}
+		h.lists[ref] = list
+	}
+	v, err := list.parser.ParseBytes(text)
+	if err != nil {
+		return fmt.Errorf("line %d: not JSON: %w", h.line, err)
+	}
+	list.entries = v.GetArray("members-list")
+	return nil
+}
+
+// deliver hands one event to its instance; a fault there is that instance's own and is reported.
+func (h *Hub) deliver(msg string, v *fastjson.Value) {
+	number := v.GetInt("sidecar")
+	defer func() {
+		if fault := recover(); fault != nil {
+			delete(h.instances, number)
+			(&instance{number: number, out: h.out}).die(fmt.Sprint(fault))
+		}
+	}()
+	if msg == "HELLO" {
+		h.instances[number] = start(number, v, h.out, h.now)
+		return
+	}
+	i := h.instances[number]
+	if i == nil {
+		return
+	}
+	i.module.At(h.now)
+	switch msg {
+	case "RETIRE":
+		delete(h.instances, number)
+	case "MEMBERS":
+		i.members(string(v.GetStringBytes("scope")), h.lists[v.GetInt("ref")])
+	case "QUERY":
+		i.module.Arrive(logic.ExchangeID(v.GetStringBytes("ref")), i.product(v), i.tenant(v), millis(v, "deadline"))
+	case "REPLY":
+		i.module.Ended(logic.ExchangeID(v.GetStringBytes("ref")), logic.LegNo(v.GetInt("try")),
+			outcomes[string(v.GetStringBytes("status"))], millis(v, "duration"), v.GetBool("closed"))
+	case "FIRST_BYTE":
+		i.module.Began(logic.ExchangeID(v.GetStringBytes("ref")), logic.LegNo(v.GetInt("try")))
+	case "CLIENT_GONE":
+		i.module.Left(logic.ExchangeID(v.GetStringBytes("ref")))
+	case "ALARM":
+		i.module.Alarm(logic.TimerID(v.GetUint64("label")))
+	}
+}
+
+func millis(v *fastjson.Value, key string) logic.Millis { return logic.Millis(v.GetFloat64(key)) }
+
+var outcomes = map[string]logic.Outcome{
+	"GOOD": logic.Satisfied, "BAD": logic.Errored, "FULL": logic.Full, "LATE": logic.TimedOut,
+	"NOCONN": logic.NoConnection, "RST": logic.Reset, "CXL": logic.Cancelled, "NOP": logic.NotSent,
+}
+
+var effects = map[string]logic.Effect{"retryable": logic.Replayable, "dedup": logic.Referenced}
+
+var groups = map[string]logic.Group{"all": logic.AllEndpoints, "zone": logic.OneZone}
+
+var healths = map[string]logic.Health{"Running": logic.Running}
+
+// instance is one sidecar: its module, its names, and the writer of its actions.
+type instance struct {
+	number   int
+	module   *logic.Balancer
+	out      *bufio.Writer
+	arena    fastjson.Arena
+	text     []byte
+	products map[string]logic.ProductID
+	tenants  map[string]logic.TenantID
+	zones    map[string]logic.ZoneID
+	names    map[string]logic.EndpointID
+}
+
+func start(number int, v *fastjson.Value, out *bufio.Writer, now logic.Millis) *instance {
+	i := &instance{
+		number: number, out: out,
+		products: map[string]logic.ProductID{}, tenants: map[string]logic.TenantID{},
+		zones: map[string]logic.ZoneID{}, names: map[string]logic.EndpointID{},
+	}
+	env := v.Get("env")
+	allowed, rules := env.Get("allowed"), env.Get("guarantees")
+	t := logic.Terms{
+		Seed: v.GetUint64("init-seed"), Fleet: env.GetInt("fleet-size"),
+		Zone: i.zone(env.GetStringBytes("locality")), OverShare: env.GetFloat64("overage-value"),
+		MaxLegs: allowed.GetInt("max-legs"), SecondCopies: allowed.GetBool("second-copies"),
+		MayCancel: allowed.GetBool("may-cancel"), MayAdvise: allowed.GetBool("retry-after"),
+		LongestAdvice: millis(allowed, "max-retry-after"),
+		MustAsk:       string(env.GetStringBytes("registry-mode")) != "pushed",
+		AskWithin:     millis(rules, "ask-within"), Cold: millis(rules, "cold"), Fall: millis(rules, "fall"),
+		ColdFrom: rules.GetFloat64("cold-from"), FallMultiple: rules.GetFloat64("fall-multiple"),
+		CrossPrice: env.GetFloat64("prices", "cross-zone"), Tick: millis(env, "tick"),
+	}
+	for n, p := range env.GetArray("products") {
+		i.products[string(p.GetStringBytes("name"))] = logic.ProductID(n)
+		t.Products = append(t.Products, logic.Product{
+			Effect: effects[string(p.GetStringBytes("effect"))], Group: groups[string(p.GetStringBytes("dedup-scope"))],
+			Remember: millis(p, "key-ttl"), Expected: millis(p, "expected-time"), Abandon: millis(p, "abandon-time"),
+			Value: p.GetFloat64("value"), Overdue: p.GetFloat64("overdue-value"),
+		})
+	}
+	for n, p := range env.GetArray("tenants") {
+		i.tenants[string(p.GetStringBytes("name"))] = logic.TenantID(n)
+		t.Tenants = append(t.Tenants, p.GetFloat64("portion"))
+	}
+	i.module = logic.New(t, i, now)
+	return i
+}
+
+func (i *instance) members(scope string, list *inventory) {
+	if scope == "error" {
+		i.module.ListFailed()
+		return
+	}
+	if list == nil {
+		return
+	}
+	if scope != "diff" {
+		i.module.ListStarts()
+	}
+	for _, e := range list.entries {
+		i.module.Listed(i.name(e.GetStringBytes("endpoint")), healths[string(e.GetStringBytes("health"))],
+			i.zone(e.GetStringBytes("locality")), logic.CellID(e.GetInt("bay")), e.GetFloat64("units"),
+			millis(e, "ready-at"))
+	}
+	i.module.ListEnds(scope == "disk")
+}
+
+func (i *instance) product(v *fastjson.Value) logic.ProductID {
+	if p, known := i.products[string(v.GetStringBytes("service"))]; known {
+		return p
+	}
+	return -1
+}
+
+func (i *instance) tenant(v *fastjson.Value) logic.TenantID {
+	if t, known := i.tenants[string(v.GetStringBytes("customer"))]; known {
+		return t
+	}
+	return -1
+}
+
+func (i *instance) zone(name []byte) logic.ZoneID {
+	z, known := i.zones[string(name)]
+	if !known {
+		z = logic.ZoneID(len(i.zones))
+		i.zones[string(name)] = z
+	}
+	return z
+}
+
+func (i *instance) name(text []byte) logic.EndpointID {
+	e, known := i.names[string(text)]
+	if !known {
+		e = logic.EndpointID(text)
+		i.names[string(e)] = e
+	}
+	return e
+}
+
+// action starts an action's object; write sends it off.
+func (i *instance) action(msg string) *fastjson.Value {
+	i.arena.Reset()
+	o := i.arena.NewObject()
+	o.Set("msg", i.arena.NewString(msg))
+	o.Set("sidecar", i.arena.NewNumberInt(i.number))
+	return o
+}
+
+func (i *instance) write(o *fastjson.Value) {
+	i.text = append(o.MarshalTo(i.text[:0]), '\n')
+	i.out.Write(i.text) // a broken pipe shows at the flush
+}
+
+func (i *instance) exchange(msg string, x logic.ExchangeID) *fastjson.Value {
+	o := i.action(msg)
+	o.Set("ref", i.arena.NewString(string(x)))
+	return o
+}
+
+func (i *instance) number64(f logic.Millis) *fastjson.Value {
+	return i.arena.NewNumberFloat64(float64(f))
+}
+
+func (i *instance) Send(x logic.ExchangeID, to logic.EndpointID, giveUpAfter logic.Millis) {
+	o := i.exchange("CALL_OUT", x)
+	o.Set("give-up-after", i.number64(giveUpAfter))
+	o.Set("endpoint", i.arena.NewString(string(to)))
+	i.write(o)
+}
+
+func (i *instance) Cancel(x logic.ExchangeID, leg logic.LegNo) {
+	o := i.exchange("CANCEL", x)
+	o.Set("try", i.arena.NewNumberInt(int(leg)))
+	i.write(o)
+}
+
+func (i *instance) Dismiss(x logic.ExchangeID, comeBackAfter logic.Millis) {
+	o := i.exchange("NOT_NOW", x)
+	if comeBackAfter > 0 {
+		o.Set("not-before-for", i.number64(comeBackAfter))
+	}
+	i.write(o)
+}
+
+func (i *instance) Forfeit(x logic.ExchangeID) { i.write(i.exchange("END_FAILED", x)) }
+
+func (i *instance) Wake(after logic.Millis, t logic.TimerID) {
+	o := i.action("WAKE_ME")
+	o.Set("from-now", i.number64(after))
+	o.Set("label", i.arena.NewNumberString(strconv.FormatUint(uint64(t), 10)))
+	i.write(o)
+}
+
+func (i *instance) Watch() {
+	o := i.action("WATCH")
+	o.Set("want", i.arena.NewTrue())
+	i.write(o)
+}
+
+func (i *instance) Note(line string) { i.say("EMIT", line) }
+
+func (i *instance) die(fault string) { i.say("DIE", fault) }
+
+func (i *instance) say(msg, line string) {
+	o := i.action(msg)
+	o.Set("line", i.arena.NewString(line))
+	i.write(o)
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,868 @@
+// Package logic holds every decision of lynxjunction.
+//
+// How to call it: New starts an instance from its Terms. At sets the clock before each event. The
+// list comes as ListStarts (a whole list only), Listed for each entry, ListEnds, or as ListFailed;
+// an exchange as Arrive, then Began, Ended for each of its legs, Left; a due timer as Alarm. All that
+// an instance wants done goes through the Outgoing it was given. Both are declared in types.go.
+//
+// An exchange's place keeps in next the step that awaits its next result. Ids that are not known
+// any more, late timers and late outcomes are harmless: they find no place, or stepOver.
+package logic
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// The design page's figures.
+const (
+	weightLeast, weightMost, weightFall, weightRise = 0.05, 1.0, 0.5, 0.1
+
+	copyPercentile = 0.95
+	copyFloor      = 20  // samples before the timer is trusted
+	copyRatio      = 0.1 // copies to exchanges
+	copyWindow     = 10000.0
+	copyRefresh    = 5000.0
+	recentLength   = 256 // latencies kept for the percentile
+	recentStale    = 16  // new latencies after which it is computed afresh
+	slices10s      = 40  // parts of the sliding window
+)
+
+// Ours, as ratios to what the terms say or what is seen.
+const (
+	beatShare     = 0.2  // of the shortest expected time: the pulse of upkeep
+	memoryShare   = 8.0  // of the longest expected time: how long health evidence counts
+	paceGain      = 0.15 // of an answer in its endpoint's pace
+	calmFall      = 0.1  // how fast calm follows the pace down ...
+	calmRise      = 0.003
+	brakeAt       = 2.2 // pace over calm at which an endpoint is taken to be crowded
+	brakeFall     = 0.85
+	roomAtStart   = 8.0
+	usualMemory   = 30000.0 // milliseconds over which a product's usual time is averaged
+	silenceAt     = 5.0     // answers that should have come in a silence
+	slowTail      = 2.5     // an endpoint's high quantile over its fellows' that is a fault
+	tailQuantile  = 0.9
+	tailStep      = 0.08
+	doubtAt       = 0.15 // share of bad outcomes that makes an endpoint doubtful
+	trustAt       = 0.8  // drawn chance of success that gives it a trial
+	coldMargin    = 0.4  // of the fall multiple that all sidecars together may use
+	retryEarn     = 0.15 // further legs earned by an exchange that ends
+	retryMost     = 12.0
+	legShare      = 0.6 // of the time left that a leg gets when another could follow
+	rememberShare = 0.8 // of the time a group remembers within which a repeat is sent
+	queueShare    = 0.3 // of the time left that may be spent in the queue
+	shareSlack    = 1.1 // on a tenant's share
+	sharedStrain  = 1.8 // mean pace over calm that is everybody's trouble
+	awayOdds      = 0.35
+	awayDrag      = 1.4
+	listBackoff   = 0.05 // of ask-within: the first wait after a failed call, doubled up to ...
+	listBackMost  = 0.25
+)
+
+// endpoint is all that is known of one server.
+type endpoint struct {
+	id              EndpointID
+	zone            ZoneID
+	cell            CellID
+	listed, running bool
+	readyAt         Millis
+	size            float64 // listed size
+	weight          float64
+	legs            int
+	since           Millis  // last answer, or when the first leg out was sent
+	pace, calm      float64 // answer time over the product's usual: now, and uncrowded
+	tail            float64 // high quantile of the same
+	answers         int
+	room, ordinary  float64 // legs it may have; legs it has when calm
+	braked          Millis
+	good, bad       float64 // fading counts of outcomes
+	silent, doubted bool
+	tokens          float64 // cold budget, in exchanges of mean work
+}
+
+// product is a Product with what decisions use.
+type product struct {
+	Product
+	usual    float64 // mean time of a satisfied leg
+	answers  float64
+	usualAt  Millis
+	overdueW bool // an answer past the expected time is worth something
+}
+
+type leg struct {
+	to              *endpoint
+	sent            Millis
+	ended, neverRan bool
+}
+
+type what int
+
+const (
+	legEnded what = iota
+	copyDue
+	waitOver
+	clientLeft
+	streamBegan
+)
+
+// result is what a step is handed.
+type result struct {
+	what    what
+	outcome Outcome
+	closed  bool
+}
+
+// step says what to do with an exchange's next result.
+type step func(b *Balancer, x *exchange, r result)
+
+// exchange is a place of the slab; its turn tells one user of the place from the next.
+type exchange struct {
+	id      ExchangeID
+	place   int
+	turn    uint32
+	next    step
+	product *product
+	tenant  TenantID
+	arrived Millis
+	horizon Millis // after it no answer is worth anything
+	legs    []leg
+	out     int
+}
+
+// Balancer is one instance.
+type Balancer struct {
+	Outgoing
+	now       Millis
+	dice      uint64
+	zone      ZoneID
+	products  []product
+	unknown   product
+	tenants   []float64
+	admitted  []float64
+	overShare float64
+	maxLegs   int
+	copies    bool
+	cancels   bool
+	advice    Millis
+	mustAsk   bool
+	askFirst  Millis
+	askMost   Millis
+	askWait   Millis
+	cold      Millis
+	coldFrom  float64
+	coldRate  float64 // all sidecars' legs to a cold endpoint over its capacity now
+	fall      Millis
+	fleet     float64
+	beat      Millis
+	memory    Millis
+	slack     Millis
+	away      bool // zones are told apart
+	endpoints []*endpoint
+	known     map[EndpointID]*endpoint
+	ready     []*endpoint
+	odds      []float64
+	sizes     float64 // mean listed size of the ready
+	places    []*exchange
+	free      []*exchange
+	open      map[ExchangeID]*exchange
+	queue     []*exchange
+	out       int
+	sent      float64
+	rate      float64 // own legs a millisecond
+	recent    [recentLength]float64
+	sorted    [recentLength]float64
+	samples   int
+	timer     Millis
+	timerAt   int
+	window    [slices10s]struct{ copies, ended float64 }
+	slice     int
+	ratio     float64
+	ratioAt   Millis
+	retries   float64
+	usual     float64 // mean time of a satisfied leg, all products
+	strain    float64 // mean pace over calm
+	mostDoubt bool
+	crowded   bool
+}
+
+// New starts an instance that knows nothing but its terms.
+func New(t Terms, out Outgoing, now Millis) *Balancer {
+	b := &Balancer{
+		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
+		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
+		copies: t.SecondCopies, cancels: t.MayCancel, mustAsk: t.MustAsk,
+		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
+		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
+		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
+		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, strain: 1, ratioAt: now,
+	}
+	b.askWait = b.askFirst
+	if t.MayAdvise {
+		b.advice = t.LongestAdvice
+	}
+	shortest, longest := Millis(math.Inf(1)), Millis(0)
+	for _, p := range t.Products {
+		b.products = append(b.products, product{Product: p, usualAt: now, overdueW: p.Overdue > 0})
+		if p.Expected > 0 {
+			shortest, longest = min(shortest, p.Expected), max(longest, p.Expected)
+		}
+	}
+	if longest == 0 {
+		shortest, longest = 1000, 1000
+	}
+	b.unknown = product{Product: Product{Value: 1}, usualAt: now, overdueW: true}
+	b.beat, b.memory, b.usual = shortest*beatShare, longest*memoryShare, float64(shortest)/4
+	b.Wake(b.beat, 0)
+	if b.mustAsk {
+		b.Watch()
+	}
+	return b
+}
+
+// At sets the clock.
+func (b *Balancer) At(now Millis) { b.now = now }
+
+// chance is a multiply-with-carry generator's next number, from 0 to 1 exclusive.
+func (b *Balancer) chance() float64 {
+	b.dice = (b.dice&0xffffffff)*4294957665 + b.dice>>32
+	return (float64(uint32(b.dice)) + 0.5) / (1 << 32)
+}
+
+// ---- the list
+
+// ListStarts begins a whole list: what it does not name is gone.
+func (b *Balancer) ListStarts() {
+	for _, e := range b.endpoints {
+		e.listed = false
+	}
+}
+
+// Listed takes one entry. Whatever is not Running gets nothing new from here on.
+func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
+	e := b.known[id]
+	if e == nil {
+		e = &endpoint{id: id, calm: 1}
+		b.known[id] = e
+		b.endpoints = append(b.endpoints, e)
+		b.renew(e)
+	} else if readyAt > e.readyAt {
+		b.renew(e) // a restart: what was known of the old process misleads about the new one
+	}
+	e.zone, e.cell, e.size, e.readyAt = zone, cell, size, max(readyAt, 0)
+	if size <= 0 {
+		e.size = 1
+	}
+	e.listed, e.running = true, h == Running
+}
+
+// renew forgets an endpoint's behaviour; it starts at the others' mean weight.
+func (b *Balancer) renew(e *endpoint) {
+	e.weight, e.pace, e.calm, e.tail = 0, 0, 0, 0
+	for _, o := range b.ready {
+		e.weight += o.weight / float64(len(b.ready))
+		e.pace += o.pace / float64(len(b.ready))
+		e.calm += o.calm / float64(len(b.ready))
+		e.tail += o.tail / float64(len(b.ready))
+	}
+	if len(b.ready) == 0 {
+		e.weight, e.pace, e.calm, e.tail = weightMost, 1, 1, 2
+	}
+	e.answers, e.room, e.ordinary, e.good, e.bad, e.silent, e.doubted = 0, roomAtStart, 0, 0, 0, false, false
+	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
+}
+
+// ListEnds ends a list event. The disk's list is old; any other shows that the watch works.
+func (b *Balancer) ListEnds(fromDisk bool) {
+	b.ready, b.sizes = b.ready[:0], 0
+	b.away = false
+	for _, e := range b.endpoints {
+		if e.running = e.running && e.listed; e.running {
+			b.ready = append(b.ready, e)
+			b.sizes += e.size
+			b.away = b.away || e.zone != b.zone
+		}
+	}
+	b.sizes /= math.Max(float64(len(b.ready)), 1)
+	b.odds = slices.Grow(b.odds[:0], len(b.ready))[:len(b.ready)]
+	if !fromDisk {
+		b.askWait = b.askFirst
+	}
+	b.drain()
+}
+
+// ListFailed asks again, later each time but well inside the time after which silence counts as told.
+func (b *Balancer) ListFailed() {
+	if b.mustAsk {
+		b.Wake(b.askWait*Millis(0.5+b.chance()), 1)
+		b.askWait = min(2*b.askWait, b.askMost)
+	}
+}
+
+// ---- an exchange's way
+
+// Arrive takes an exchange; from here on it is owed one final answer.
+func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, abandon Millis) {
+	x := b.seat()
+	x.id, x.product, x.tenant, x.arrived, x.horizon = id, &b.unknown, t, b.now, abandon
+	if p >= 0 && int(p) < len(b.products) {
+		x.product = &b.products[p]
+	}
+	if !x.product.overdueW && x.product.Expected > 0 {
+		x.horizon = min(abandon, b.now+x.product.Expected)
+	}
+	b.open[id] = x
+	b.route(x)
+}
+
+func (b *Balancer) seat() *exchange {
+	if len(b.free) == 0 {
+		x := &exchange{place: len(b.places), legs: make([]leg, 0, b.maxLegs)}
+		b.places = append(b.places, x)
+		return x
+	}
+	x := b.free[len(b.free)-1]
+	b.free = b.free[:len(b.free)-1]
+	return x
+}
+
+// vacate frees a place once nothing can come for it but late timers, which the turn tells apart.
+func (b *Balancer) vacate(x *exchange) {
+	delete(b.open, x.id)
+	x.turn, x.legs, x.next, x.id = x.turn+1, x.legs[:0], nil, ""
+	b.free = append(b.free, x)
+}
+
+// route sends the next leg now or lines the exchange up.
+func (b *Balancer) route(x *exchange) {
+	if len(b.queue) == 0 {
+		if e := b.pick(x); e != nil {
+			b.send(x, e)
+			return
+		}
+	}
+	b.lineUp(x)
+}
+
+// send is the only place a leg leaves from; it passes the gate or does not go.
+func (b *Balancer) send(x *exchange, e *endpoint) bool {
+	if !b.gate(x, e) {
+		return false
+	}
+	if b.isCold(e) {
+		e.tokens -= b.effort(x)
+	}
+	if len(x.legs) == 0 && x.tenant >= 0 && int(x.tenant) < len(b.admitted) {
+		b.admitted[x.tenant]++
+	}
+	if e.legs == 0 {
+		e.since = b.now
+	}
+	patience := b.patience(x)
+	x.legs = append(x.legs, leg{to: e, sent: b.now})
+	x.out, e.legs, b.out, b.sent = x.out+1, e.legs+1, b.out+1, b.sent+1
+	x.next = stepRunning
+	b.Send(x.id, e.id, patience)
+	if x.out == 1 && b.samples >= copyFloor && b.timer < x.horizon-b.now && b.mayRepeat(x) {
+		b.wakeFor(x, b.timer, copyDue)
+	}
+	return true
+}
+
+// patience is a leg's time-out: all that is left, unless another leg could still follow it.
+func (b *Balancer) patience(x *exchange) Millis {
+	left := x.horizon - b.now - b.slack
+	usual := Millis(b.usualOf(x))
+	if part := left * legShare; x.product.Effect != SingleUse && len(x.legs)+1 < b.maxLegs &&
+		b.retries >= 1 && left-part > usual && part > 2*usual {
+		return part
+	}
+	return max(left, b.slack/2, 1)
+}
+
+func (b *Balancer) mayRepeat(x *exchange) bool {
+	return b.copies && x.product.Effect != SingleUse && len(x.legs) < b.maxLegs
+}
+
+func (b *Balancer) wakeFor(x *exchange, after Millis, w what) {
+	b.Wake(after, TimerID(x.place)<<40|TimerID(x.turn)<<8|TimerID(w)<<4|2)
+}
+
+// Alarm takes a timer; one set for an earlier user of a place is stale and does nothing.
+func (b *Balancer) Alarm(t TimerID) {
+	switch place := int(t >> 40); {
+	case t == 0:
+		b.pulse()
+	case t == 1:
+		b.Watch()
+	case t&15 == 2 && place < len(b.places):
+		x := b.places[place]
+		if x.next != nil && x.turn == uint32(t>>8) {
+			x.next(b, x, result{what: what(t >> 4 & 15)})
+		}
+	}
+}
+
+// Began hands over a streamed answer's start, after which the leg is the client's own.
+func (b *Balancer) Began(id ExchangeID, n LegNo) {
+	if x := b.open[id]; x != nil && int(n) < len(x.legs) {
+		x.legs[n].to.since = b.now
+		b.cancelOthers(x, n)
+		x.next(b, x, result{what: streamBegan})
+	}
+}
+
+// Left ends an exchange whose client went away.
+func (b *Balancer) Left(id ExchangeID) {
+	if x := b.open[id]; x != nil {
+		x.next(b, x, result{what: clientLeft})
+	}
+}
+
+// Ended takes a leg's outcome: first the endpoint's account, then the exchange's next step.
+func (b *Balancer) Ended(id ExchangeID, n LegNo, o Outcome, took Millis, closed bool) {
+	x := b.open[id]
+	if x == nil || int(n) >= len(x.legs) || x.legs[n].ended {
+		return
+	}
+	l := &x.legs[n]
+	l.ended, l.neverRan = true, o == Full || o == NoConnection || o == NotSent
+	x.out, l.to.legs, b.out = x.out-1, l.to.legs-1, b.out-1
+	b.account(x, l.to, o, float64(took))
+	x.next(b, x, result{what: legEnded, outcome: o, closed: closed})
+	b.drain()
+}
+
+// stepRunning awaits the outcome of legs that are out, or the time for a copy.
+func stepRunning(b *Balancer, x *exchange, r result) {
+	switch {
+	case r.what == clientLeft || r.closed:
+		b.finish(x)
+	case r.what == streamBegan:
+		x.next = stepStreaming
+	case r.what == copyDue:
+		b.copy(x)
+	case r.what != legEnded || x.out > 0:
+	case b.furtherLeg(x):
+		b.retries--
+		b.route(x)
+	default:
+		b.giveUp(x)
+	}
+}
+
+// stepQueued awaits room; drain sends it on, the end of its wait gives it up.
+func stepQueued(b *Balancer, x *exchange, r result) {
+	if r.what == waitOver || r.what == clientLeft {
+		b.queue = slices.Delete(b.queue, slices.Index(b.queue, x), slices.Index(b.queue, x)+1)
+		if r.what == clientLeft {
+			b.finish(x)
+		} else {
+			b.giveUp(x)
+		}
+	}
+}
+
+// stepStreaming awaits the end of a stream, for which no time-out runs.
+func stepStreaming(b *Balancer, x *exchange, r result) {
+	if r.closed || r.what == clientLeft {
+		b.finish(x)
+	}
+}
+
+// stepOver awaits the outcomes of legs left behind by an exchange that has ended.
+func stepOver(b *Balancer, x *exchange, _ result) {
+	if x.out == 0 {
+		b.vacate(x)
+	}
+}
+
+// finish closes the books on an exchange that has its final answer.
+func (b *Balancer) finish(x *exchange) {
+	b.cancelOthers(x, -1)
+	b.window[b.slice].ended++
+	b.retries = math.Min(b.retries+retryEarn, retryMost)
+	x.next = stepOver
+	stepOver(b, x, result{})
+}
+
+func (b *Balancer) cancelOthers(x *exchange, keep LegNo) {
+	for n, l := range x.legs {
+		if b.cancels && !l.ended && LegNo(n) != keep {
+			b.Cancel(x.id, LegNo(n))
+		}
+	}
+}
+
+// giveUp answers at once: a dismissal where a new try is known to be harmless, else a forfeit.
+func (b *Balancer) giveUp(x *exchange) {
+	harmless := x.product.Effect == Replayable ||
+		x.product.Effect == Referenced && x.product.Group == AllEndpoints
+	if harmless || !slices.ContainsFunc(x.legs, func(l leg) bool { return !l.neverRan }) {
+		b.Dismiss(x.id, min(b.advice, x.product.Expected))
+	} else {
+		b.Forfeit(x.id)
+	}
+	b.finish(x)
+}
+
+// furtherLeg tells whether another leg is affordable and could be answered in time.
+func (b *Balancer) furtherLeg(x *exchange) bool {
+	return b.retries >= 1 && float64(x.horizon-b.now) > b.usualOf(x)/2 && len(x.legs) < b.maxLegs &&
+		slices.ContainsFunc(b.ready, func(e *endpoint) bool { return b.gate(x, e) })
+}
+
+// copy sends the second leg of the design, unless all are slow: then copies only feed the trouble.
+func (b *Balancer) copy(x *exchange) {
+	if x.out != 1 || len(x.legs) > 1 || !b.mayRepeat(x) || b.ratio >= copyRatio ||
+		len(b.queue) > 0 || b.strain > sharedStrain {
+		return
+	}
+	if e := b.pick(x); e != nil && b.send(x, e) {
+		b.window[b.slice].copies++
+	}
+}
+
+// ---- rules
+
+// gate holds every rule that a leg must keep.
+func (b *Balancer) gate(x *exchange, e *endpoint) bool {
+	if !e.running || len(x.legs) >= b.maxLegs || x.horizon <= b.now || x.next != nil && x.out == 0 && x.over() {
+		return false
+	}
+	first := true
+	for _, l := range x.legs {
+		if l.neverRan {
+			continue
+		}
+		if !l.ended && (!b.copies || l.to == e) || x.product.Effect == SingleUse {
+			return false
+		}
+		if x.product.Effect == Referenced {
+			g := x.product.Group
+			if g == OneZone && l.to.zone != e.zone || g == OneCell && l.to.cell != e.cell ||
+				first && b.now-l.sent > x.product.Remember*rememberShare {
+				return false
+			}
+			first = false
+		}
+	}
+	return !b.isCold(e) || e.tokens >= b.effort(x)
+}
+
+func (x *exchange) over() bool { return false }
+
+func (b *Balancer) isCold(e *endpoint) bool { return e.readyAt > 0 && b.now < e.readyAt+b.cold }
+
+// capacityNow is the least part of its full capacity that an endpoint has by now.
+func (b *Balancer) capacityNow(e *endpoint) float64 {
+	if !b.isCold(e) {
+		return 1
+	}
+	return b.coldFrom + (1-b.coldFrom)*math.Max(float64((b.now-e.readyAt)/b.cold), 0)
+}
+
+// effort is an exchange's work over the mean.
+func (b *Balancer) effort(x *exchange) float64 { return b.usualOf(x) / b.usual }
+
+func (b *Balancer) usualOf(x *exchange) float64 {
+	if x.product.answers < 1 {
+		return b.usual
+	}
+	return x.product.usual
+}
+
+// ---- the pick
+
+// pick draws two endpoints by weight and takes the one with fewer legs, counted in answer time.
+// Doubtful ones are left out unless nothing else is there.
+func (b *Balancer) pick(x *exchange) *endpoint {
+	for try := range 3 {
+		total := 0.0
+		for i, e := range b.ready {
+			b.odds[i] = 0
+			if float64(e.legs) >= e.room || !b.gate(x, e) || try < 2 && x.tried(e) || try < 1 && !b.trusts(x, e) {
+				continue
+			}
+			b.odds[i] = e.weight * e.size * b.capacityNow(e)
+			if b.away && e.zone != b.zone {
+				b.odds[i] *= awayOdds
+			}
+			total += b.odds[i]
+		}
+		if total <= 0 {
+			continue
+		}
+		one := b.draw(total)
+		total -= b.odds[one]
+		b.odds[one] = 0
+		if total <= 1e-9 {
+			return b.ready[one]
+		}
+		if two := b.draw(total); b.load(b.ready[two]) < b.load(b.ready[one]) {
+			return b.ready[two]
+		}
+		return b.ready[one]
+	}
+	return nil
+}
+
+func (b *Balancer) draw(total float64) int {
+	at, last := b.chance()*total, 0
+	for i, w := range b.odds {
+		if w > 0 {
+			if last = i; at < w {
+				break
+			}
+			at -= w
+		}
+	}
+	return last
+}
+
+// load is the design's count of legs in flight, each as long as this endpoint takes.
+func (b *Balancer) load(e *endpoint) float64 {
+	l := float64(e.legs+1) * e.pace
+	if b.away && e.zone != b.zone {
+		l *= awayDrag
+	}
+	return l
+}
+
+func (x *exchange) tried(e *endpoint) bool {
+	return slices.ContainsFunc(x.legs, func(l leg) bool { return l.to == e })
+}
+
+// trusts draws from the posterior of a doubtful endpoint's chance of success, so that it is tried
+// now and then, with one replayable leg at a time, and found again when it recovers.
+func (b *Balancer) trusts(x *exchange, e *endpoint) bool {
+	if !e.doubted && !e.silent || b.mostDoubt {
+		return true
+	}
+	if e.silent || e.legs > 0 || x.product.Effect == SingleUse {
+		return false
+	}
+	good, bad := b.gamma(1+int(math.Min(e.good, 8))), b.gamma(1+int(math.Min(e.bad+0.5, 8)))
+	return good/(good+bad) > trustAt
+}
+
+func (b *Balancer) gamma(k int) float64 {
+	p := 1.0
+	for ; k > 0; k-- {
+		p *= b.chance()
+	}
+	return -math.Log(p)
+}
+
+// ---- the queue
+
+// lineUp lets an exchange wait for room, if an answer in time is likely; the least worthy gives way.
+func (b *Balancer) lineUp(x *exchange) {
+	if len(b.ready) == 0 {
+		b.giveUp(x)
+		return
+	}
+	x.next = stepQueued
+	b.queue = append(b.queue, x)
+	b.wakeFor(x, max(min(x.horizon-b.now-Millis(b.usualOf(x)), (x.horizon-b.now)/2), 1), waitOver)
+	for len(b.queue) > 0 {
+		least := slices.MinFunc(b.queue, func(p, q *exchange) int { return cmp.Compare(b.rank(p), b.rank(q)) })
+		wait := float64(len(b.queue)) * b.usual * b.strain / math.Max(float64(b.out), 1)
+		if wait <= queueShare*float64(least.horizon-b.now) {
+			break
+		}
+		least.next(b, least, result{what: waitOver})
+	}
+	b.drain()
+}
+
+// rank is value for work; a tenant beyond its share comes after those within theirs.
+func (b *Balancer) rank(x *exchange) float64 {
+	r := x.product.Value / b.usualOf(x)
+	if x.tenant >= 0 && int(x.tenant) < len(b.admitted) {
+		total := 0.0
+		for _, a := range b.admitted {
+			total += a
+		}
+		if b.admitted[x.tenant] > shareSlack*b.tenants[x.tenant]*total {
+			r *= b.overShare
+		}
+	}
+	return r
+}
+
+// drain sends from the queue while there is room, the worthiest first.
+func (b *Balancer) drain() {
+	for len(b.queue) > 0 {
+		x := slices.MaxFunc(b.queue, func(p, q *exchange) int { return cmp.Compare(b.rank(p), b.rank(q)) })
+		e := b.pick(x)
+		if e == nil {
+			return
+		}
+		at := slices.Index(b.queue, x)
+		b.queue = slices.Delete(b.queue, at, at+1)
+		b.send(x, e)
+	}
+}
+
+// ---- what is learned
+
+// account books a leg's outcome with its endpoint.
+func (b *Balancer) account(x *exchange, e *endpoint, o Outcome, took float64) {
+	switch o {
+	case Satisfied:
+		e.weight = math.Min(e.weight+weightRise, weightMost)
+		e.since, e.silent = b.now, false
+		b.learn(x, e, took)
+	case Errored, Reset, TimedOut, NoConnection:
+		e.weight = math.Max(e.weight*weightFall, weightLeast)
+		e.bad++
+		if o == Errored {
+			e.since, e.silent = b.now, false
+		}
+	case Full:
+		e.room = math.Max(e.room*brakeFall, 1)
+	}
+	if o == TimedOut || o == Cancelled {
+		// An answer that did not come is at least as late as this: waiting must not look fast.
+		if r := took / b.usualOf(x); r > e.pace {
+			e.pace += paceGain * (r - e.pace)
+		}
+	}
+	if e.legs == 0 {
+		e.silent = false
+	}
+	b.judge(e)
+}
+
+// learn takes the time of a satisfied leg.
+func (b *Balancer) learn(x *exchange, e *endpoint, took float64) {
+	b.recent[b.samples%recentLength] = took
+	b.samples++
+	if b.samples >= copyFloor && b.samples >= b.timerAt {
+		s := b.sorted[:min(b.samples, recentLength)]
+		copy(s, b.recent[:])
+		slices.Sort(s)
+		b.timer, b.timerAt = Millis(s[int(copyPercentile*float64(len(s)-1))]), b.samples+recentStale
+	}
+	p := x.product
+	p.answers++
+	gain := math.Max(1/p.answers, math.Min(float64(b.now-p.usualAt)/usualMemory, 1))
+	p.usual, p.usualAt = p.usual+gain*(took-p.usual), b.now
+	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
+	r := took / math.Max(p.usual, 0.001)
+	e.answers++
+	e.pace += paceGain * (r - e.pace)
+	if r > e.tail {
+		e.tail += tailStep * tailQuantile * e.tail
+	} else {
+		e.tail -= tailStep * (1 - tailQuantile) * e.tail
+	}
+	if e.pace < e.calm {
+		e.calm += calmFall * (e.pace - e.calm)
+	} else {
+		e.calm += calmRise * (e.pace - e.calm)
+	}
+	if e.doubted && r > slowTail*2 {
+		e.bad++
+	} else {
+		e.good++
+	}
+	switch {
+	case e.pace > brakeAt*e.calm:
+		if float64(b.now-e.braked) > b.usual*e.pace {
+			e.braked = b.now
+			e.room = math.Max(math.Min(e.room, float64(e.legs+1))*brakeFall, 1+e.ordinary)
+		}
+	default:
+		e.ordinary += 0.02 * (float64(e.legs+1) - e.ordinary)
+		if float64(e.legs+1) > e.room/2 {
+			e.room += 1 / e.room
+		}
+	}
+}
+
+// judge decides whether an endpoint is doubtful, and says so when that changes.
+func (b *Balancer) judge(e *endpoint) {
+	doubted := e.bad >= 1 && e.bad > doubtAt*(e.good+e.bad)
+	if doubted != e.doubted {
+		e.doubted = doubted
+		if doubted {
+			b.Note(fmt.Sprintf("endpoint %s doubtful: %.0f bad of %.0f outcomes", e.id, e.bad, e.good+e.bad))
+		} else {
+			b.Note(fmt.Sprintf("endpoint %s trusted again", e.id))
+		}
+	}
+}
+
+// pulse is the regular upkeep.
+func (b *Balancer) pulse() {
+	b.Wake(b.beat, 0)
+	fade := math.Exp(-float64(b.beat / b.memory))
+	b.rate += (1 - math.Exp(-float64(b.beat)/2000)) * (b.sent/float64(b.beat) - b.rate)
+	b.sent = 0
+	for t := range b.admitted {
+		b.admitted[t] *= fade
+	}
+	if slice := int(float64(b.now)/(copyWindow/slices10s)) % slices10s; slice != b.slice {
+		for b.slice != slice {
+			b.slice = (b.slice + 1) % slices10s
+			b.window[b.slice].copies, b.window[b.slice].ended = 0, 0
+		}
+	}
+	if b.now-b.ratioAt >= copyRefresh {
+		b.ratioAt, b.ratio = b.now, b.copyRatioNow()
+	}
+	tails, strain, doubts := b.sorted[:0], 0.0, 0
+	for _, e := range b.ready {
+		tails = append(tails, e.tail)
+		strain += e.pace / math.Max(e.calm, 0.01) / float64(len(b.ready))
+	}
+	slices.Sort(tails)
+	if len(tails) > 0 {
+		b.strain = math.Max(strain, 1)
+	}
+	for _, e := range b.ready {
+		e.good, e.bad = e.good*fade, e.bad*fade
+		typical := tails[len(tails)/2]
+		quiet := float64(b.now - e.since)
+		if e.legs > 0 && !e.silent && float64(e.legs)*quiet > silenceAt*b.usual*math.Max(e.calm, 0.3)*b.strain {
+			e.silent = true // taking work and answering none: seen before any time-out runs out
+			e.bad += 2
+		}
+		if e.tail > slowTail*typical && e.answers > 0 {
+			e.bad = math.Max(e.bad, 1+doubtAt*2*e.good)
+		}
+		e.tail += (1 - fade) * (typical - e.tail) // what is not asked is not condemned for ever
+		if e.legs == 0 {
+			e.pace += (1 - fade) * (1 - e.pace) * 0.5
+		}
+		if e.doubted || e.silent {
+			doubts++
+		}
+		if b.isCold(e) {
+			own := b.rate * e.size / math.Max(b.sizes*float64(len(b.ready)), 0.01)
+			allowed := b.coldRate * b.capacityNow(e) * math.Max(own, 0.5/b.usual/b.fleet)
+			e.tokens = math.Min(e.tokens+allowed*float64(b.beat), math.Max(1, allowed*float64(b.fall)/4))
+		}
+		b.judge(e)
+	}
+	b.mostDoubt = doubts*2 > len(b.ready)
+	if crowded := len(b.queue) > 0; crowded != b.crowded {
+		b.crowded = crowded
+		b.Note(fmt.Sprintf("queueing %t: strain %.2f, %d legs out", crowded, b.strain, b.out))
+	}
+	b.drain()
+}
+
+func (b *Balancer) copyRatioNow() float64 {
+	copies, ended := 0.0, 0.0
+	for _, w := range b.window {
+		copies, ended = copies+w.copies, ended+w.ended
+	}
+	if ended == 0 {
+		return 0
+	}
+	return copies / ended
+}
--- /dev/null
+++ b/logic/types.go
@@ -0,0 +1,96 @@
+package logic
+
+// Millis is a time or a duration in milliseconds, fractions allowed.
+type Millis float64
+
+type (
+	ExchangeID string // one try of a client, as its caller named it
+	EndpointID string // one server, as the list names it
+	ZoneID     int
+	CellID     int
+	ProductID  int // place in Terms.Products; anything outside is an unknown product
+	TenantID   int // place in Terms.Tenants; anything outside is no tenant
+	LegNo      int // legs of one exchange count from 0
+	TimerID    uint64
+)
+
+// Effect tells whether an exchange may run again. The zero value is the strictest.
+type Effect int
+
+const (
+	SingleUse Effect = iota
+	Referenced
+	Replayable
+)
+
+// Group is the set of endpoints that drop each other's repeats. The zero value is the narrowest.
+type Group int
+
+const (
+	OneCell Group = iota
+	OneZone
+	AllEndpoints
+)
+
+// Outcome is how a leg ended. The zero value, an unknown one, proves nothing.
+type Outcome int
+
+const (
+	Unclear Outcome = iota
+	Satisfied
+	Errored
+	Full
+	TimedOut
+	NoConnection
+	Reset
+	Cancelled
+	NotSent
+)
+
+// Health is what the list says of an endpoint. The zero value gets no work.
+type Health int
+
+const (
+	NotRunning Health = iota
+	Running
+)
+
+// Product is a kind of exchange and what its users were promised.
+type Product struct {
+	Effect         Effect
+	Group          Group
+	Remember       Millis // how long the group drops repeats
+	Expected       Millis
+	Abandon        Millis
+	Value, Overdue float64 // full value, and the part of it paid after the expected time
+}
+
+// Terms are what an instance is told when it starts.
+type Terms struct {
+	Seed                               uint64
+	Fleet                              int
+	Zone                               ZoneID
+	Products                           []Product
+	Tenants                            []float64 // share of each
+	OverShare                          float64   // value of what is beyond a share, as a part
+	MaxLegs                            int
+	SecondCopies, MayCancel, MayAdvise bool
+	LongestAdvice                      Millis
+	MustAsk                            bool // the list comes only when asked for
+	AskWithin                          Millis
+	Cold, Fall                         Millis
+	ColdFrom, FallMultiple             float64
+	CrossPrice                         float64
+	Tick                               Millis
+}
+
+// Outgoing is what the module asks of its surroundings. Calls take effect in order, at once.
+type Outgoing interface {
+	Send(x ExchangeID, to EndpointID, giveUpAfter Millis)
+	Cancel(x ExchangeID, leg LegNo)
+	Dismiss(x ExchangeID, comeBackAfter Millis)
+	Forfeit(x ExchangeID)
+	Wake(after Millis, t TimerID)
+	Watch()
+	Note(line string)
+}
