--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,11 +35,11 @@
 	beatShare     = 0.2  // of the shortest expected time: the pulse of upkeep
 	memoryShare   = 8.0  // of the longest expected time: how long health evidence counts
 	paceGain      = 0.15 // of an answer in its endpoint's pace
-	calmFall      = 0.1  // how fast calm follows the pace down ...
-	calmRise      = 0.003
-	brakeAt       = 2.2 // pace over calm at which an endpoint is taken to be crowded
-	brakeFall     = 0.85
-	roomAtStart   = 8.0
+	lateShare     = 0.5  // of the expected time: a leg that takes longer finds its endpoint crowded
+	roomAtStart   = 2.0
+	roomFirst     = 0.25    // an endpoint's room grows by this much an answer until the first late one,
+	roomRise      = 0.03    // then by this part,
+	roomFall      = 0.8     // and falls to this part at a late one, once for all legs then out
 	usualMemory   = 30000.0 // milliseconds over which a product's usual time is averaged
 	silenceAt     = 5.0     // answers that should have come in a silence
 	slowTail      = 2.5     // an endpoint's high quantile over its fellows' that is a fault
@@ -54,7 +54,8 @@
 	rememberShare = 0.8 // of the time a group remembers within which a repeat is sent
 	queueShare    = 0.3 // of the time left that may be spent in the queue
 	shareSlack    = 1.1 // on a tenant's share
-	sharedStrain  = 1.8 // mean pace over calm that is everybody's trouble
+	lateMost      = 0.3 // share of late legs that is everybody's trouble
+	lateGain      = 0.02
 	awayOdds      = 0.35
 	awayDrag      = 1.4
 	listBackoff   = 0.05 // of ask-within: the first wait after a failed call, doubled up to ...
@@ -72,11 +73,11 @@
 	weight          float64
 	legs            int
 	since           Millis  // last answer, or when the first leg out was sent
-	pace, calm      float64 // answer time over the product's usual: now, and uncrowded
+	pace            float64 // answer time over the product's usual
 	tail            float64 // high quantile of the same
 	answers         int
-	room, ordinary  float64 // legs it may have; legs it has when calm
-	braked          Millis
+	room            float64 // legs it may have
+	braked          Millis  // when room last fell; 0 before
 	good, bad       float64 // fading counts of outcomes
 	silent, doubted bool
 	tokens          float64 // cold budget, in exchanges of mean work
@@ -182,7 +183,7 @@
 	ratioAt   Millis
 	retries   float64
 	usual     float64 // mean time of a satisfied leg, all products
-	strain    float64 // mean pace over calm
+	late      float64 // recent share of late legs
 	mostDoubt bool
 	crowded   bool
 }
@@ -196,7 +197,7 @@
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
-		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, strain: 1, ratioAt: now,
+		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
 	}
 	b.askWait = b.askFirst
 	if t.MayAdvise {
@@ -243,7 +244,7 @@
 func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
 	e := b.known[id]
 	if e == nil {
-		e = &endpoint{id: id, calm: 1}
+		e = &endpoint{id: id}
 		b.known[id] = e
 		b.endpoints = append(b.endpoints, e)
 		b.renew(e)
@@ -259,17 +260,16 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.weight, e.pace, e.calm, e.tail = 0, 0, 0, 0
+	e.weight, e.pace, e.tail = 0, 0, 0
 	for _, o := range b.ready {
 		e.weight += o.weight / float64(len(b.ready))
 		e.pace += o.pace / float64(len(b.ready))
-		e.calm += o.calm / float64(len(b.ready))
 		e.tail += o.tail / float64(len(b.ready))
 	}
 	if len(b.ready) == 0 {
-		e.weight, e.pace, e.calm, e.tail = weightMost, 1, 1, 2
+		e.weight, e.pace, e.tail = weightMost, 1, 2
 	}
-	e.answers, e.room, e.ordinary, e.good, e.bad, e.silent, e.doubted = 0, roomAtStart, 0, 0, 0, false, false
+	e.answers, e.room, e.braked, e.good, e.bad, e.silent, e.doubted = 0, roomAtStart, 0, 0, 0, false, false
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 }
 
@@ -429,7 +429,7 @@
 	l := &x.legs[n]
 	l.ended, l.neverRan = true, o == Full || o == NoConnection || o == NotSent
 	x.out, l.to.legs, b.out = x.out-1, l.to.legs-1, b.out-1
-	b.account(x, l.to, o, float64(took))
+	b.account(x, l, o, float64(took))
 	x.next(b, x, result{what: legEnded, outcome: o, closed: closed})
 	b.drain()
 }
@@ -516,7 +516,7 @@
 // copy sends the second leg of the design, unless all are slow: then copies only feed the trouble.
 func (b *Balancer) copy(x *exchange) {
 	if x.out != 1 || len(x.legs) > 1 || !b.mayRepeat(x) || b.ratio >= copyRatio ||
-		len(b.queue) > 0 || b.strain > sharedStrain {
+		len(b.queue) > 0 || b.late > lateMost {
 		return
 	}
 	if e := b.pick(x); e != nil && b.send(x, e) {
@@ -528,7 +528,7 @@
 
 // gate holds every rule that a leg must keep.
 func (b *Balancer) gate(x *exchange, e *endpoint) bool {
-	if !e.running || len(x.legs) >= b.maxLegs || x.horizon <= b.now || x.next != nil && x.out == 0 && x.over() {
+	if !e.running || len(x.legs) >= b.maxLegs || x.horizon <= b.now {
 		return false
 	}
 	first := true
@@ -551,8 +551,6 @@
 	return !b.isCold(e) || e.tokens >= b.effort(x)
 }
 
-func (x *exchange) over() bool { return false }
-
 func (b *Balancer) isCold(e *endpoint) bool { return e.readyAt > 0 && b.now < e.readyAt+b.cold }
 
 // capacityNow is the least part of its full capacity that an endpoint has by now.
@@ -668,7 +666,7 @@
 	b.wakeFor(x, max(min(x.horizon-b.now-Millis(b.usualOf(x)), (x.horizon-b.now)/2), 1), waitOver)
 	for len(b.queue) > 0 {
 		least := slices.MinFunc(b.queue, func(p, q *exchange) int { return cmp.Compare(b.rank(p), b.rank(q)) })
-		wait := float64(len(b.queue)) * b.usual * b.strain / math.Max(float64(b.out), 1)
+		wait := float64(len(b.queue)) * b.usual / math.Max(float64(b.out), 1)
 		if wait <= queueShare*float64(least.horizon-b.now) {
 			break
 		}
@@ -709,7 +707,9 @@
 // ---- what is learned
 
 // account books a leg's outcome with its endpoint.
-func (b *Balancer) account(x *exchange, e *endpoint, o Outcome, took float64) {
+func (b *Balancer) account(x *exchange, l *leg, o Outcome, took float64) {
+	e := l.to
+	b.widen(x, l, o, took)
 	switch o {
 	case Satisfied:
 		e.weight = math.Min(e.weight+weightRise, weightMost)
@@ -721,8 +721,6 @@
 		if o == Errored {
 			e.since, e.silent = b.now, false
 		}
-	case Full:
-		e.room = math.Max(e.room*brakeFall, 1)
 	}
 	if o == TimedOut || o == Cancelled {
 		// An answer that did not come is at least as late as this: waiting must not look fast.
@@ -759,27 +757,32 @@
 	} else {
 		e.tail -= tailStep * (1 - tailQuantile) * e.tail
 	}
-	if e.pace < e.calm {
-		e.calm += calmFall * (e.pace - e.calm)
-	} else {
-		e.calm += calmRise * (e.pace - e.calm)
-	}
 	if e.doubted && r > slowTail*2 {
 		e.bad++
 	} else {
 		e.good++
 	}
+}
+
+// widen lets an endpoint's room follow whether its legs come back well inside the expected time, so
+// that all sidecars together keep its queue short without knowing of each other.
+func (b *Balancer) widen(x *exchange, l *leg, o Outcome, took float64) {
+	e, late := l.to, took > lateShare*float64(x.product.Expected) || o == Full
+	if o != Satisfied && !late {
+		return
+	}
+	b.late -= lateGain * b.late
 	switch {
-	case e.pace > brakeAt*e.calm:
-		if float64(b.now-e.braked) > b.usual*e.pace {
-			e.braked = b.now
-			e.room = math.Max(math.Min(e.room, float64(e.legs+1))*brakeFall, 1+e.ordinary)
+	case late:
+		b.late += lateGain
+		if l.sent >= e.braked {
+			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, 1), b.now
 		}
+	case float64(e.legs+1) <= e.room/2:
+	case e.braked == 0:
+		e.room += roomFirst
 	default:
-		e.ordinary += 0.02 * (float64(e.legs+1) - e.ordinary)
-		if float64(e.legs+1) > e.room/2 {
-			e.room += 1 / e.room
-		}
+		e.room += roomRise * e.room
 	}
 }
 
@@ -814,20 +817,16 @@
 	if b.now-b.ratioAt >= copyRefresh {
 		b.ratioAt, b.ratio = b.now, b.copyRatioNow()
 	}
-	tails, strain, doubts := b.sorted[:0], 0.0, 0
+	tails, doubts := b.sorted[:0], 0
 	for _, e := range b.ready {
 		tails = append(tails, e.tail)
-		strain += e.pace / math.Max(e.calm, 0.01) / float64(len(b.ready))
 	}
 	slices.Sort(tails)
-	if len(tails) > 0 {
-		b.strain = math.Max(strain, 1)
-	}
 	for _, e := range b.ready {
 		e.good, e.bad = e.good*fade, e.bad*fade
 		typical := tails[len(tails)/2]
 		quiet := float64(b.now - e.since)
-		if e.legs > 0 && !e.silent && float64(e.legs)*quiet > silenceAt*b.usual*math.Max(e.calm, 0.3)*b.strain {
+		if e.legs > 0 && !e.silent && float64(e.legs)*quiet > silenceAt*b.usual*math.Max(e.pace, 0.5) {
 			e.silent = true // taking work and answering none: seen before any time-out runs out
 			e.bad += 2
 		}
@@ -851,7 +850,7 @@
 	b.mostDoubt = doubts*2 > len(b.ready)
 	if crowded := len(b.queue) > 0; crowded != b.crowded {
 		b.crowded = crowded
-		b.Note(fmt.Sprintf("queueing %t: strain %.2f, %d legs out", crowded, b.strain, b.out))
+		b.Note(fmt.Sprintf("queueing %t: %.2f late, %d legs out", crowded, b.late, b.out))
 	}
 	b.drain()
 }
