--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,16 +41,16 @@
 	roomRise      = 0.03    // then by this part,
 	roomFall      = 0.8     // and falls to this part at a late one, once for all legs then out
 	usualMemory   = 30000.0 // milliseconds over which a product's usual time is averaged
-	silenceAt     = 5.0     // answers that should have come in a silence
+	silenceAt     = 6.0     // answers that should have come in a silence
 	slowTail      = 2.5     // an endpoint's high quantile over its fellows' that is a fault
 	tailQuantile  = 0.9
 	tailStep      = 0.08
-	doubtAt       = 0.15 // share of bad outcomes that makes an endpoint doubtful
+	doubtAt       = 0.25 // share of bad outcomes that makes an endpoint doubtful
 	trustAt       = 0.8  // drawn chance of success that gives it a trial
 	coldMargin    = 0.4  // of the fall multiple that all sidecars together may use
 	retryEarn     = 0.15 // further legs earned by an exchange that ends
 	retryMost     = 12.0
-	legShare      = 0.6 // of the time left that a leg gets when another could follow
+	legShare      = 1.0 // of the time left that a leg gets when another could follow
 	rememberShare = 0.8 // of the time a group remembers within which a repeat is sent
 	queueShare    = 0.3 // of the time left that may be spent in the queue
 	shareSlack    = 1.1 // on a tenant's share
@@ -826,7 +826,7 @@
 		e.good, e.bad = e.good*fade, e.bad*fade
 		typical := tails[len(tails)/2]
 		quiet := float64(b.now - e.since)
-		if e.legs > 0 && !e.silent && float64(e.legs)*quiet > silenceAt*b.usual*math.Max(e.pace, 0.5) {
+		if e.legs > 0 && !e.silent && quiet > float64(b.timer) && float64(e.legs)*quiet > silenceAt*b.usual*math.Max(e.pace, 0.5) {
 			e.silent = true // taking work and answering none: seen before any time-out runs out
 			e.bad += 2
 		}
