--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,7 +50,6 @@
 	coldMargin    = 0.4  // of the fall multiple that all sidecars together may use
 	retryEarn     = 0.15 // further legs earned by an exchange that ends
 	retryMost     = 12.0
-	legShare      = 1.0 // of the time left that a leg gets when another could follow
 	rememberShare = 0.8 // of the time a group remembers within which a repeat is sent
 	queueShare    = 0.3 // of the time left that may be spent in the queue
 	shareSlack    = 1.1 // on a tenant's share
@@ -370,13 +369,11 @@
 	return true
 }
 
-// patience is a leg's time-out: all that is left, unless another leg could still follow it.
+// patience is a leg's time-out: all that is left, less what another leg would usually take.
 func (b *Balancer) patience(x *exchange) Millis {
 	left := x.horizon - b.now - b.slack
-	usual := Millis(b.usualOf(x))
-	if part := left * legShare; x.product.Effect != SingleUse && len(x.legs)+1 < b.maxLegs &&
-		b.retries >= 1 && left-part > usual && part > 2*usual {
-		return part
+	if x.product.Effect != SingleUse && len(x.legs)+1 < b.maxLegs && b.retries >= 1 && 2*b.timer < left {
+		return left - b.timer
 	}
 	return max(left, b.slack/2, 1)
 }
