--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,62 @@
+package wire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const hello = `{"msg":"HELLO","sidecar":3,"init-seed":18446744073709551615,"env":{"fleet-size":1,"locality":"z",` +
+	`"tick":5.0,"new-key":[1],"registry-mode":"on_request","allowed":{"max-legs":2,"retry-after":true},` +
+	`"guarantees":{"ask-within":10000.0},"products":[{"name":"p","effect":"retryable","expected-time":500.0,"value":1.0}]}}`
+
+const list = `{"msg":"INVENTORY","ref":0,"members-list":[{"health":"Running","endpoint":"10.0.0.1:80","locality":"z",` +
+	`"units":1,"bay":0,"ready-at":null},{"health":"Dancing","endpoint":"10.0.0.2:80","locality":"z"}]}`
+
+const members = `{"msg":"MEMBERS","sidecar":3,"epoch":1,"scope":"disk","ref":0}`
+
+const query = `{"msg":"QUERY","sidecar":3,"ref":"5d3a91c4-29e0-4d37-aecf-79864cd1a9ed","cost":null,"resent":false,` +
+	`"customer":null,"deadline":9000.5,"service":"p"}`
+
+func TestRun(t *testing.T) {
+	sync, end := `{"msg":"SYNC","moment":1000.25}`, `{"msg":"EOB"}`
+	reply := `{"msg":"REPLY","sidecar":3,"ref":"5d3a91c4-29e0-4d37-aecf-79864cd1a9ed","closed":false,"duration":2.5,` +
+		`"try":0,"status":"STRANGE","endpoint":"10.0.0.1:80","pressure":{"odd":1}}`
+	for _, c := range []struct {
+		name, fault string
+		in          []string
+		has, hasNot []string
+	}{
+		{"empty batch", "", []string{sync, end}, []string{`{"msg":"OK"}`}, nil},
+		{"start and send", "", []string{sync, hello, list, members, query, end}, []string{
+			`{"msg":"WATCH","sidecar":3,"want":true}`, `"ref":"5d3a91c4-29e0-4d37-aecf-79864cd1a9ed","give-up-after":`,
+			`"endpoint":"10.0.0.1:80"}`,
+		}, []string{"10.0.0.2", "DIE"}},
+		{"list number used again", "", []string{sync, hello, list, members, strings.ReplaceAll(list, "0.0.1:", "0.0.9:"),
+			members, query, end}, []string{`10.0.0.9:80`}, []string{"0.0.1:"}},
+		{"killed, all forgotten", "", []string{sync, hello, list, members, query, `{"msg":"RETIRE","sidecar":3}`, reply, end},
+			[]string{`{"msg":"OK"}`}, []string{"END_FAILED", "DIE"}},
+		{"unknown message, label up to 2^63", "", []string{sync, hello, `{"msg":"NEWS","sidecar":3}`,
+			`{"msg":"ALARM","sidecar":3,"label":9223372036854775808}`, end}, []string{`{"msg":"OK"}`}, []string{"DIE"}},
+		{"a fault inside an instance", "", []string{sync, hello, list, members, query,
+			strings.Replace(reply, `"try":0`, `"try":-1`, 1), end}, []string{`{"msg":"DIE","sidecar":3,"line":`}, nil},
+		{"not JSON", "line 2: not JSON", []string{sync, "{"}, nil, nil},
+		{"broken off", "line 2: input ended inside a batch", []string{sync}, nil, nil},
+	} {
+		var out bytes.Buffer
+		err := NewHub(strings.NewReader(strings.Join(c.in, "\n")+"\n"), &out).Run()
+		if c.fault != "" {
+			assert.ErrorContains(t, err, c.fault, c.name)
+			continue
+		}
+		assert.NoError(t, err, c.name)
+		for _, s := range c.has {
+			assert.Contains(t, out.String(), s, c.name)
+		}
+		for _, s := range c.hasNot {
+			assert.NotContains(t, out.String(), s, c.name)
+		}
+	}
+}
--- /dev/null
+++ b/logic/helper_test.go
@@ -0,0 +1,91 @@
+package logic
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// record keeps what an instance asked for, one short line each.
+type record struct{ lines []string }
+
+func (r *record) add(f string, a ...any) { r.lines = append(r.lines, fmt.Sprintf(f, a...)) }
+
+func (r *record) Send(x ExchangeID, to EndpointID, _ Millis) { r.add("send %s %s", x, to) }
+func (r *record) Cancel(x ExchangeID, n LegNo)               { r.add("cancel %s %d", x, n) }
+func (r *record) Dismiss(x ExchangeID, _ Millis)             { r.add("dismiss %s", x) }
+func (r *record) Forfeit(x ExchangeID)                       { r.add("forfeit %s", x) }
+func (r *record) Wake(_ Millis, t TimerID)                   { r.add("wake %d", t) }
+func (r *record) Watch()                                     { r.add("watch") }
+func (r *record) Note(line string)                           { r.add("note %s", line) }
+
+// take returns the lines that start with one of the words, and forgets all.
+func (r *record) take(words ...string) []string {
+	got := []string{}
+	for _, l := range r.lines {
+		for _, w := range words {
+			if strings.HasPrefix(l, w) {
+				got = append(got, l)
+			}
+		}
+	}
+	r.lines = nil
+	return got
+}
+
+const replayable, referenced, singleUse, farReaching = ProductID(0), ProductID(1), ProductID(2), ProductID(3)
+
+// begin starts an instance with one endpoint for each letter of names, two to a cell.
+func begin(names string) (*Balancer, *record) {
+	r := &record{}
+	long := Product{Expected: 1000, Abandon: 4000, Value: 1, Overdue: 0.5, Remember: 1000}
+	kinds := []Product{long, long, long, long}
+	kinds[0].Effect, kinds[1].Effect, kinds[3].Effect, kinds[3].Group = Replayable, Referenced, Referenced, AllEndpoints
+	b := New(Terms{
+		Seed: 7, Fleet: 2, Products: kinds, Tenants: []float64{0.5, 0.5}, OverShare: 0.1, MaxLegs: 3,
+		SecondCopies: true, MayCancel: true, MustAsk: true, AskWithin: 10000, Cold: 10000, Fall: 1000,
+		ColdFrom: 0.1, FallMultiple: 3, Tick: 5,
+	}, r, 1000)
+	b.ListStarts()
+	for n, name := range names {
+		b.Listed(EndpointID(name), Running, 0, CellID(n/2), 1, 0)
+	}
+	b.ListEnds(true)
+	return b, r
+}
+
+// arrive hands in an exchange and returns where its leg went, "" if nowhere.
+func arrive(b *Balancer, r *record, x ExchangeID, p ProductID) EndpointID {
+	r.take()
+	b.Arrive(x, p, -1, b.now+4000)
+	return sentTo(r)
+}
+
+func sentTo(r *record) EndpointID {
+	if got := r.take("send"); len(got) > 0 {
+		return EndpointID(got[0][strings.LastIndex(got[0], " ")+1:])
+	}
+	return ""
+}
+
+// serve passes n exchanges that are answered in took; extra room keeps them out of the queue.
+func serve(b *Balancer, r *record, n int, took Millis) {
+	for i := range n {
+		x := ExchangeID(fmt.Sprintf("s%d-%d", b.samples, i))
+		arrive(b, r, x, replayable)
+		b.At(b.now + took)
+		b.Ended(x, 0, Satisfied, took, true)
+	}
+	r.take()
+}
+
+// beats lets so many pulses pass.
+func beats(b *Balancer, n int) {
+	for range n {
+		b.At(b.now + b.beat)
+		b.Alarm(0)
+	}
+}
+
+func near(t assert.TestingT, want, got float64) { assert.InDelta(t, want, got, 1e-9) }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,7 +27,7 @@
 	copyRefresh    = 5000.0
 	recentLength   = 256 // latencies kept for the percentile
 	recentStale    = 16  // new latencies after which it is computed afresh
-	slices10s      = 40  // parts of the sliding window
+	windowParts    = 40  // steps in which the window slides
 )
 
 // Ours, as ratios to what the terms say or what is seen.
@@ -40,6 +40,7 @@
 	roomFirst     = 0.25    // an endpoint's room grows by this much an answer until the first late one,
 	roomRise      = 0.03    // then by this part,
 	roomFall      = 0.8     // and falls to this part at a late one, once for all legs then out
+	usualAtStart  = 0.25    // of the shortest expected time
 	usualMemory   = 30000.0 // milliseconds over which a product's usual time is averaged
 	silenceAt     = 6.0     // answers that should have come in a silence
 	slowTail      = 2.5     // an endpoint's high quantile over its fellows' that is a fault
@@ -125,7 +126,6 @@
 	next    step
 	product *product
 	tenant  TenantID
-	arrived Millis
 	horizon Millis // after it no answer is worth anything
 	legs    []leg
 	out     int
@@ -134,57 +134,45 @@
 // Balancer is one instance.
 type Balancer struct {
 	Outgoing
-	now       Millis
-	dice      uint64
-	zone      ZoneID
-	products  []product
-	unknown   product
-	tenants   []float64
-	admitted  []float64
-	overShare float64
-	maxLegs   int
-	copies    bool
-	cancels   bool
-	advice    Millis
-	mustAsk   bool
-	askFirst  Millis
-	askMost   Millis
-	askWait   Millis
-	cold      Millis
-	coldFrom  float64
-	coldRate  float64 // all sidecars' legs to a cold endpoint over its capacity now
-	fall      Millis
-	fleet     float64
-	beat      Millis
-	memory    Millis
-	slack     Millis
-	away      bool // zones are told apart
-	endpoints []*endpoint
+	now  Millis
+	dice uint64
+
+	// From the terms.
+	zone                                       ZoneID
+	products                                   []product
+	unknown                                    product
+	tenants                                    []float64 // share of each
+	overShare, fleet, coldFrom                 float64
+	coldRate                                   float64 // all sidecars' legs to a cold endpoint over its capacity
+	maxLegs                                    int
+	copies, cancels, mustAsk                   bool
+	advice                                     Millis // the longest that clients heed; 0 for none
+	askFirst, askMost, cold, fall, beat, slack Millis
+	fade                                       float64 // what a beat leaves of an old count
+
+	// The list.
+	endpoints []*endpoint // in the order first heard of
 	known     map[EndpointID]*endpoint
 	ready     []*endpoint
-	odds      []float64
-	sizes     float64 // mean listed size of the ready
-	places    []*exchange
-	free      []*exchange
-	open      map[ExchangeID]*exchange
-	queue     []*exchange
-	out       int
-	sent      float64
-	rate      float64 // own legs a millisecond
-	recent    [recentLength]float64
-	sorted    [recentLength]float64
-	samples   int
-	timer     Millis
-	timerAt   int
-	window    [slices10s]struct{ copies, ended float64 }
-	slice     int
-	ratio     float64
-	ratioAt   Millis
-	retries   float64
-	usual     float64 // mean time of a satisfied leg, all products
-	late      float64 // recent share of late legs
-	mostDoubt bool
-	crowded   bool
+	odds      []float64 // of the ready ones, in a pick
+	meanSize  float64
+	away      bool // some are in other zones
+	askWait   Millis
+
+	// Exchanges in hand.
+	places, free, queue []*exchange
+	open                map[ExchangeID]*exchange
+	out                 int // legs
+
+	// What was learned.
+	recent, sorted                          [recentLength]float64 // latencies of satisfied legs
+	samples, timerAt                        int
+	timer, ratioAt                          Millis
+	window                                  [windowParts]struct{ copies, ended float64 }
+	part                                    int
+	ratio, retries, usual, late, sent, rate float64
+	admitted                                []float64 // fading count of each tenant's exchanges
+	mostDoubt, crowded                      bool
 }
 
 // New starts an instance that knows nothing but its terms.
@@ -213,7 +201,8 @@
 		shortest, longest = 1000, 1000
 	}
 	b.unknown = product{Product: Product{Value: 1}, usualAt: now, overdueW: true}
-	b.beat, b.memory, b.usual = shortest*beatShare, longest*memoryShare, float64(shortest)/4
+	b.beat, b.usual = shortest*beatShare, float64(shortest)*usualAtStart
+	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
 	b.Wake(b.beat, 0)
 	if b.mustAsk {
 		b.Watch()
@@ -274,16 +263,16 @@
 
 // ListEnds ends a list event. The disk's list is old; any other shows that the watch works.
 func (b *Balancer) ListEnds(fromDisk bool) {
-	b.ready, b.sizes = b.ready[:0], 0
+	b.ready, b.meanSize = b.ready[:0], 0
 	b.away = false
 	for _, e := range b.endpoints {
 		if e.running = e.running && e.listed; e.running {
 			b.ready = append(b.ready, e)
-			b.sizes += e.size
+			b.meanSize += e.size
 			b.away = b.away || e.zone != b.zone
 		}
 	}
-	b.sizes /= math.Max(float64(len(b.ready)), 1)
+	b.meanSize /= math.Max(float64(len(b.ready)), 1)
 	b.odds = slices.Grow(b.odds[:0], len(b.ready))[:len(b.ready)]
 	if !fromDisk {
 		b.askWait = b.askFirst
@@ -304,7 +293,7 @@
 // Arrive takes an exchange; from here on it is owed one final answer.
 func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, abandon Millis) {
 	x := b.seat()
-	x.id, x.product, x.tenant, x.arrived, x.horizon = id, &b.unknown, t, b.now, abandon
+	x.id, x.product, x.tenant, x.horizon = id, &b.unknown, t, abandon
 	if p >= 0 && int(p) < len(b.products) {
 		x.product = &b.products[p]
 	}
@@ -369,12 +358,10 @@
 	return true
 }
 
-// patience is a leg's time-out: all that is left, less what another leg would usually take.
+// patience is a leg's time-out: all that is left. Cutting it to leave room for another leg costs
+// more in wasted work than it saves; the copy comes first.
 func (b *Balancer) patience(x *exchange) Millis {
 	left := x.horizon - b.now - b.slack
-	if x.product.Effect != SingleUse && len(x.legs)+1 < b.maxLegs && b.retries >= 1 && 2*b.timer < left {
-		return left - b.timer
-	}
 	return max(left, b.slack/2, 1)
 }
 
@@ -478,7 +465,7 @@
 // finish closes the books on an exchange that has its final answer.
 func (b *Balancer) finish(x *exchange) {
 	b.cancelOthers(x, -1)
-	b.window[b.slice].ended++
+	b.window[b.part].ended++
 	b.retries = math.Min(b.retries+retryEarn, retryMost)
 	x.next = stepOver
 	stepOver(b, x, result{})
@@ -517,7 +504,7 @@
 		return
 	}
 	if e := b.pick(x); e != nil && b.send(x, e) {
-		b.window[b.slice].copies++
+		b.window[b.part].copies++
 	}
 }
 
@@ -799,16 +786,15 @@
 // pulse is the regular upkeep.
 func (b *Balancer) pulse() {
 	b.Wake(b.beat, 0)
-	fade := math.Exp(-float64(b.beat / b.memory))
 	b.rate += (1 - math.Exp(-float64(b.beat)/2000)) * (b.sent/float64(b.beat) - b.rate)
 	b.sent = 0
 	for t := range b.admitted {
-		b.admitted[t] *= fade
+		b.admitted[t] *= b.fade
 	}
-	if slice := int(float64(b.now)/(copyWindow/slices10s)) % slices10s; slice != b.slice {
-		for b.slice != slice {
-			b.slice = (b.slice + 1) % slices10s
-			b.window[b.slice].copies, b.window[b.slice].ended = 0, 0
+	if part := int(float64(b.now)/(copyWindow/windowParts)) % windowParts; part != b.part {
+		for b.part != part {
+			b.part = (b.part + 1) % windowParts
+			b.window[b.part].copies, b.window[b.part].ended = 0, 0
 		}
 	}
 	if b.now-b.ratioAt >= copyRefresh {
@@ -820,25 +806,26 @@
 	}
 	slices.Sort(tails)
 	for _, e := range b.ready {
-		e.good, e.bad = e.good*fade, e.bad*fade
+		e.good, e.bad = e.good*b.fade, e.bad*b.fade
 		typical := tails[len(tails)/2]
 		quiet := float64(b.now - e.since)
-		if e.legs > 0 && !e.silent && quiet > float64(b.timer) && float64(e.legs)*quiet > silenceAt*b.usual*math.Max(e.pace, 0.5) {
+		due := float64(e.legs) * quiet / (b.usual * math.Max(e.pace, 0.5)) // answers, in that time
+		if e.legs > 0 && !e.silent && quiet > float64(b.timer) && due > silenceAt {
 			e.silent = true // taking work and answering none: seen before any time-out runs out
 			e.bad += 2
 		}
 		if e.tail > slowTail*typical && e.answers > 0 {
 			e.bad = math.Max(e.bad, 1+doubtAt*2*e.good)
 		}
-		e.tail += (1 - fade) * (typical - e.tail) // what is not asked is not condemned for ever
+		e.tail += (1 - b.fade) * (typical - e.tail) // what is not asked is not condemned for ever
 		if e.legs == 0 {
-			e.pace += (1 - fade) * (1 - e.pace) * 0.5
+			e.pace += (1 - b.fade) * (1 - e.pace) * 0.5
 		}
 		if e.doubted || e.silent {
 			doubts++
 		}
 		if b.isCold(e) {
-			own := b.rate * e.size / math.Max(b.sizes*float64(len(b.ready)), 0.01)
+			own := b.rate * e.size / math.Max(b.meanSize*float64(len(b.ready)), 0.01)
 			allowed := b.coldRate * b.capacityNow(e) * math.Max(own, 0.5/b.usual/b.fleet)
 			e.tokens = math.Min(e.tokens+allowed*float64(b.beat), math.Max(1, allowed*float64(b.fall)/4))
 		}
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,336 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestWeight(t *testing.T) {
+	for _, c := range []struct {
+		outcomes []Outcome
+		want     float64
+	}{
+		{[]Outcome{Errored}, 0.5},
+		{[]Outcome{Reset}, 0.5},
+		{[]Outcome{TimedOut, TimedOut}, 0.25},
+		{[]Outcome{Errored, Satisfied}, 0.6},
+		{[]Outcome{Satisfied}, 1},
+		{[]Outcome{Full}, 1},
+		{[]Outcome{Cancelled}, 1},
+		{[]Outcome{Errored, Errored, Errored, Errored, Errored, Errored}, 0.05},
+	} {
+		b, r := begin("a")
+		for n, o := range c.outcomes {
+			x := ExchangeID(fmt.Sprint(n))
+			arrive(b, r, x, singleUse)
+			b.Ended(x, 0, o, 100, false)
+		}
+		near(t, c.want, b.known["a"].weight)
+	}
+}
+
+func TestNewcomerStartsAtTheOthersMean(t *testing.T) {
+	b, _ := begin("ab")
+	b.known["a"].weight = 0.5
+	b.Listed("c", Running, 0, 0, 1, 0)
+	near(t, 0.75, b.known["c"].weight)
+}
+
+func TestPickTakesTheOneWithFewerLegs(t *testing.T) {
+	b, r := begin("ab")
+	first := arrive(b, r, "x", singleUse)
+	assert.NotEqual(t, first, arrive(b, r, "y", singleUse), "the other has none in flight")
+}
+
+func TestPickDrawsByWeight(t *testing.T) {
+	b, r := begin("abc")
+	b.known["a"].weight, b.known["b"].weight, b.known["c"].weight = 0.05, 1, 1
+	got := map[EndpointID]int{}
+	for n := range 400 {
+		x := ExchangeID(fmt.Sprint(n))
+		got[arrive(b, r, x, replayable)]++
+		b.Ended(x, 0, Cancelled, 0, true)
+	}
+	assert.Less(t, got["a"], 80)
+	assert.Greater(t, got["a"], 0)
+}
+
+func TestTimerIsThe95thPercentileAfter20Samples(t *testing.T) {
+	b, r := begin("abcd")
+	for n := range 20 {
+		assert.Zero(t, b.timer)
+		serve(b, r, 1, Millis(10*(n+1)))
+	}
+	near(t, 190, float64(b.timer))
+}
+
+func TestCopy(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		product ProductID
+		ratio   float64
+		late    float64
+		copies  int
+	}{
+		{"replayable", replayable, 0, 0, 1},
+		{"referenced, inside its cell", referenced, 0, 0, 1},
+		{"single-use never", singleUse, 0, 0, 0},
+		{"no room in the ratio", replayable, 0.1, 0, 0},
+		{"a slowdown shared by all", replayable, 0, 0.5, 0},
+	} {
+		b, r := begin("abcd")
+		serve(b, r, 40, 50)
+		b.ratio, b.late = c.ratio, c.late
+		first := arrive(b, r, "x", c.product)
+		x := b.open["x"]
+		b.At(b.now + b.timer)
+		b.Alarm(TimerID(x.place)<<40 | TimerID(x.turn)<<8 | TimerID(copyDue)<<4 | 2)
+		to := sentTo(r)
+		assert.Equal(t, c.copies == 1, to != "", c.name)
+		if to != "" {
+			assert.NotEqual(t, first, to, c.name)
+			assert.Equal(t, c.product == referenced, b.known[first].cell == b.known[to].cell && c.product == referenced)
+			b.Ended("x", 1, Satisfied, 50, true)
+			assert.Equal(t, []string{"cancel x 0"}, r.take("cancel"), c.name)
+		}
+	}
+}
+
+func TestRatioSlidesAndRefreshes(t *testing.T) {
+	b, r := begin("abcd")
+	near(t, 0, b.copyRatioNow())
+	serve(b, r, 10, 10)
+	b.window[b.part].copies = 2
+	near(t, 0.2, b.copyRatioNow())
+	near(t, 0, b.ratio)
+	beats(b, 26) // past the refresh
+	near(t, 0.2, b.ratio)
+	beats(b, 26) // past the window
+	near(t, 0, b.ratio)
+}
+
+func TestEffectsAgainstOutcomes(t *testing.T) {
+	none := []string{}
+	for _, c := range []struct {
+		product ProductID
+		outcome Outcome
+		again   bool
+		final   []string
+	}{
+		{replayable, Errored, true, none}, {replayable, TimedOut, true, none}, {replayable, NoConnection, true, none},
+		{referenced, Errored, true, none}, {referenced, Full, true, none}, {farReaching, Reset, true, none},
+		{singleUse, NoConnection, true, none}, {singleUse, Full, true, none}, {singleUse, NotSent, true, none},
+		{singleUse, Errored, false, []string{"forfeit x"}}, {singleUse, TimedOut, false, []string{"forfeit x"}},
+		{singleUse, Unclear, false, []string{"forfeit x"}}, {singleUse, Cancelled, false, []string{"forfeit x"}},
+		{-1, Reset, false, []string{"forfeit x"}},
+	} {
+		b, r := begin("abcd")
+		first := arrive(b, r, "x", c.product)
+		b.Ended("x", 0, c.outcome, 10, false)
+		final := r.lines
+		to := sentTo(r)
+		assert.Equal(t, c.again, to != "", "%v", c)
+		assert.Equal(t, c.final, (&record{lines: final}).take("dismiss", "forfeit"), "%v", c)
+		if c.product == referenced && c.outcome == Errored {
+			assert.Equal(t, b.known[first].cell, b.known[to].cell, "only its cell knows the mark")
+		}
+	}
+}
+
+func TestNoRetryBudgetNoFurtherLeg(t *testing.T) {
+	for p, want := range map[ProductID]string{replayable: "dismiss x", referenced: "forfeit x", farReaching: "dismiss x"} {
+		b, r := begin("abcd")
+		b.retries = 0.5
+		arrive(b, r, "x", p)
+		b.Ended("x", 0, Errored, 10, false)
+		assert.Equal(t, []string{want}, r.take("send", "dismiss", "forfeit"))
+	}
+}
+
+func TestReferencedOnlyWhileItsGroupRemembers(t *testing.T) {
+	for wait, want := range map[Millis]bool{700: true, 1000: false} {
+		b, r := begin("ab")
+		arrive(b, r, "x", referenced)
+		b.At(b.now + wait)
+		b.Ended("x", 0, Errored, wait, false)
+		assert.Equal(t, want, sentTo(r) != "")
+	}
+}
+
+func TestDrainsAndTheListGone(t *testing.T) {
+	for name, tell := range map[string]func(b *Balancer){
+		"stopping": func(b *Balancer) { b.Listed("a", NotRunning, 0, 0, 1, 0); b.ListEnds(false) },
+		"absent":   func(b *Balancer) { b.ListStarts(); b.Listed("b", Running, 0, 0, 1, 0); b.ListEnds(false) },
+	} {
+		b, r := begin("ab")
+		tell(b)
+		for n := range 8 {
+			assert.NotEqual(t, EndpointID("a"), arrive(b, r, ExchangeID(fmt.Sprint(n)), singleUse), name)
+		}
+	}
+	b, r := begin("")
+	arrive(b, r, "x", replayable)
+	assert.Empty(t, b.open, "answered at once, nothing kept")
+	b.ListFailed()
+	assert.Equal(t, []string{"wake 1"}, r.take("wake"))
+	b.Alarm(1)
+	assert.Equal(t, []string{"watch"}, r.take("watch"))
+}
+
+func TestColdBudget(t *testing.T) {
+	b, r := begin("ab")
+	b.Listed("c", Running, 0, 1, 1, b.now)
+	b.ListEnds(false)
+	c := 0
+	for n := range 500 {
+		x := ExchangeID(fmt.Sprint(n))
+		if arrive(b, r, x, replayable) == "c" {
+			c++
+		}
+		b.At(b.now + 4)
+		b.Ended(x, 0, Satisfied, 4, true)
+		if n%50 == 0 {
+			b.Alarm(0)
+		}
+	}
+	// 2 s at 250 a second over three endpoints, at a little over a tenth of its capacity, times 1.2.
+	assert.Less(t, c, 50)
+	assert.Greater(t, c, 0)
+}
+
+func TestStaleTimersAndLateOutcomes(t *testing.T) {
+	b, r := begin("abcd")
+	serve(b, r, 20, 50)
+	arrive(b, r, "x", replayable)
+	stale := TimerID(b.open["x"].place)<<40 | TimerID(b.open["x"].turn)<<8 | TimerID(copyDue)<<4 | 2
+	b.Ended("x", 0, Satisfied, 50, true)
+	arrive(b, r, "y", replayable)
+	place := b.open["y"].place
+	assert.Equal(t, place, int(stale>>40), "the place is used again")
+	b.Alarm(stale)
+	b.Ended("x", 0, Satisfied, 50, true)
+	assert.Empty(t, r.take("send", "cancel", "dismiss"))
+	assert.Equal(t, 1, b.out)
+}
+
+func TestClientGoneAndLastTimeOut(t *testing.T) {
+	b, r := begin("ab")
+	arrive(b, r, "x", replayable)
+	b.Left("x")
+	assert.Equal(t, []string{"cancel x 0"}, r.take("cancel", "forfeit", "dismiss"))
+	b.Ended("x", 0, Cancelled, 1, true)
+	assert.Empty(t, b.open)
+	arrive(b, r, "y", singleUse)
+	b.At(b.now + 4000)
+	b.Ended("y", 0, TimedOut, 4000, false)
+	assert.Equal(t, []string{"forfeit y"}, r.take("forfeit", "dismiss"))
+}
+
+func TestStreamBelongsToTheClient(t *testing.T) {
+	b, r := begin("ab")
+	arrive(b, r, "x", replayable)
+	b.Began("x", 0)
+	b.Alarm(TimerID(copyDue)<<4 | 2)
+	assert.Empty(t, r.take("send", "cancel", "dismiss", "forfeit"))
+	b.Ended("x", 0, Satisfied, 9000, true)
+	assert.Empty(t, b.open)
+}
+
+// A hung endpoint must be left alone before its legs time out, and be found again later.
+func TestSilence(t *testing.T) {
+	b, r := begin("abc")
+	serve(b, r, 60, 50)
+	a := b.known["a"]
+	a.legs, a.since = 2, b.now
+	beats(b, 5)
+	assert.True(t, a.silent)
+	for n := range 3 {
+		assert.NotEqual(t, EndpointID("a"), arrive(b, r, ExchangeID(fmt.Sprint(n)), replayable))
+	}
+	a.legs, a.silent = 0, false
+	found := 0
+	for range 300 {
+		beats(b, 1)
+		x := ExchangeID(fmt.Sprint(b.now))
+		if arrive(b, r, x, replayable) == "a" {
+			found++
+		}
+		b.Ended(x, 0, Satisfied, 50, true)
+	}
+	assert.Greater(t, found, 20)
+}
+
+// Quick failures must not draw traffic by their short queue.
+func TestFastErrors(t *testing.T) {
+	b, r := begin("abc")
+	got := 0
+	for n := range 200 {
+		x := ExchangeID(fmt.Sprint(n))
+		if to := arrive(b, r, x, replayable); to == "a" {
+			got++
+			b.Ended(x, 0, Errored, 1, false)
+			if again := b.open[x]; again != nil {
+				b.Ended(x, 1, Satisfied, 50, true)
+			}
+		} else {
+			b.Ended(x, 0, Satisfied, 50, true)
+		}
+	}
+	assert.Less(t, got, 12)
+}
+
+// Crowded endpoints must get less; what waits goes by value for work, beyond a share last.
+func TestRoomAndQueue(t *testing.T) {
+	b, r := begin("a")
+	a := b.known["a"]
+	a.room = 1.5
+	serve(b, r, 5, 400)
+	wide := a.room
+	assert.Greater(t, wide, 1.5)
+	serve(b, r, 1, 900)
+	assert.Less(t, a.room, wide)
+	a.room = 1
+	b.products[3].Value = 5
+	arrive(b, r, "x", singleUse)
+	assert.Empty(t, arrive(b, r, "low", replayable))
+	assert.Empty(t, arrive(b, r, "high", farReaching))
+	b.Ended("x", 0, Satisfied, 400, true)
+	assert.Equal(t, "send high a", r.take("send")[0])
+	b.admitted[0], b.admitted[1] = 9, 1
+	over, within := &exchange{product: &b.products[0], tenant: 0}, &exchange{product: &b.products[0], tenant: 1}
+	assert.Less(t, b.rank(over), b.rank(within))
+	for n := range 50 {
+		arrive(b, r, ExchangeID(fmt.Sprint(n)), replayable)
+	}
+	assert.Less(t, len(b.queue), 10, "what is not likely to be answered in time is dismissed at once")
+}
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	b, _ := begin("abcd")
+	b.Outgoing = nowhere{}
+	ids := []ExchangeID{"p", "q", "r"}
+	n := 0
+	pass := func() {
+		id := ids[n%3]
+		n++
+		b.At(b.now + 50)
+		b.Arrive(id, replayable, -1, b.now+4000)
+		b.Ended(id, 0, Satisfied, 40, true)
+	}
+	for range 400 {
+		pass()
+	}
+	assert.Zero(t, testing.AllocsPerRun(200, pass))
+}
+
+type nowhere struct{}
+
+func (nowhere) Send(ExchangeID, EndpointID, Millis) {}
+func (nowhere) Cancel(ExchangeID, LegNo)            {}
+func (nowhere) Dismiss(ExchangeID, Millis)          {}
+func (nowhere) Forfeit(ExchangeID)                  {}
+func (nowhere) Wake(Millis, TimerID)                {}
+func (nowhere) Watch()                              {}
+func (nowhere) Note(string)                         {}
