--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,7 +52,7 @@
 	retryEarn     = 0.15 // further legs earned by an exchange that ends
 	retryMost     = 12.0
 	rememberShare = 0.8 // of the time a group remembers within which a repeat is sent
-	queueShare    = 0.3 // of the time left that may be spent in the queue
+	queueShare    = 0.2 // of the time left that may be spent in the queue
 	shareSlack    = 1.1 // on a tenant's share
 	lateMost      = 0.3 // share of late legs that is everybody's trouble
 	lateGain      = 0.02
