--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,7 @@
 	beatShare     = 0.2  // of the shortest expected time: the pulse of upkeep
 	memoryShare   = 8.0  // of the longest expected time: how long health evidence counts
 	paceGain      = 0.15 // of an answer in its endpoint's pace
-	lateShare     = 0.5  // of the expected time: a leg that takes longer finds its endpoint crowded
+	lateShare     = 0.4  // of the expected time: a leg that takes longer finds its endpoint crowded
 	roomAtStart   = 2.0
 	roomFirst     = 0.25    // an endpoint's room grows by this much an answer until the first late one,
 	roomRise      = 0.03    // then by this part,
@@ -52,7 +52,7 @@
 	retryEarn     = 0.15 // further legs earned by an exchange that ends
 	retryMost     = 12.0
 	rememberShare = 0.8 // of the time a group remembers within which a repeat is sent
-	queueShare    = 0.2 // of the time left that may be spent in the queue
+	queueShare    = 0.12 // of the time left that may be spent in the queue
 	shareSlack    = 1.1 // on a tenant's share
 	lateMost      = 0.3 // share of late legs that is everybody's trouble
 	lateGain      = 0.02
