--- a/logic/logic.go
+++ b/logic/logic.go
@@ -564,7 +564,7 @@
 		total := 0.0
 		for i, e := range b.ready {
 			b.odds[i] = 0
-			if float64(e.legs+1) > e.room || !b.gate(x, e) || try < 2 && x.tried(e) || try < 1 && !b.trusts(x, e) {
+			if float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 2 && x.tried(e) || try < 1 && !b.trusts(x, e) {
 				continue
 			}
 			b.odds[i] = e.weight * e.size * b.capacityNow(e)
