--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,8 @@
 	paceGain      = 0.15 // of an answer in its endpoint's pace
 	lateShare     = 0.4  // of the expected time: a leg that takes longer finds its endpoint crowded
 	roomAtStart   = 2.0
+	roomLeast     = 4.0     // legs of all sidecars together that an endpoint's room leaves at the least
+	roomOver      = 1.5     // legs out over all rooms together
 	roomFirst     = 0.25    // an endpoint's room grows by this much an answer until the first late one,
 	roomRise      = 0.03    // then by this part,
 	roomFall      = 0.8     // and falls to this part at a late one, once for all legs then out
@@ -51,10 +53,10 @@
 	coldMargin    = 0.4  // of the fall multiple that all sidecars together may use
 	retryEarn     = 0.15 // further legs earned by an exchange that ends
 	retryMost     = 12.0
-	rememberShare = 0.8 // of the time a group remembers within which a repeat is sent
+	rememberShare = 0.8  // of the time a group remembers within which a repeat is sent
 	queueShare    = 0.12 // of the time left that may be spent in the queue
-	shareSlack    = 1.1 // on a tenant's share
-	lateMost      = 0.3 // share of late legs that is everybody's trouble
+	shareSlack    = 1.1  // on a tenant's share
+	lateMost      = 0.3  // share of late legs that is everybody's trouble
 	lateGain      = 0.02
 	awayOdds      = 0.35
 	awayDrag      = 1.4
@@ -148,6 +150,7 @@
 	copies, cancels, mustAsk                   bool
 	advice                                     Millis // the longest that clients heed; 0 for none
 	askFirst, askMost, cold, fall, beat, slack Millis
+	roomLeast                                  float64
 	fade                                       float64 // what a beat leaves of an old count
 
 	// The list.
@@ -186,7 +189,7 @@
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
 	}
-	b.askWait = b.askFirst
+	b.askWait, b.roomLeast = b.askFirst, math.Min(roomLeast/b.fleet, 1)
 	if t.MayAdvise {
 		b.advice = t.LongestAdvice
 	}
@@ -558,13 +561,20 @@
 // ---- the pick
 
 // pick draws two endpoints by weight and takes the one with fewer legs, counted in answer time.
-// Doubtful ones are left out unless nothing else is there.
+// Doubtful ones are left out even when the others are full: they have room because they fail.
 func (b *Balancer) pick(x *exchange) *endpoint {
-	for try := range 3 {
+	rooms := 0.0
+	for _, e := range b.ready {
+		rooms += e.room
+	}
+	if float64(b.out+1) > math.Max(rooms*roomOver, 1) {
+		return nil
+	}
+	for try := range 2 {
 		total := 0.0
 		for i, e := range b.ready {
 			b.odds[i] = 0
-			if float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 2 && x.tried(e) || try < 1 && !b.trusts(x, e) {
+			if float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 1 && x.tried(e) || !b.trusts(x, e) {
 				continue
 			}
 			b.odds[i] = e.weight * e.size * b.capacityNow(e)
@@ -702,6 +712,9 @@
 	case Errored, Reset, TimedOut, NoConnection:
 		e.weight = math.Max(e.weight*weightFall, weightLeast)
 		e.bad++
+		if o != TimedOut {
+			e.good /= 2 // a long good record must not hide that a server has just gone
+		}
 		if o == Errored {
 			e.since, e.silent = b.now, false
 		}
@@ -760,13 +773,13 @@
 	case late:
 		b.late += lateGain
 		if l.sent >= e.braked {
-			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, 1), b.now
+			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
 		}
 	case float64(e.legs+1) <= e.room/2:
 	case e.braked == 0:
 		e.room += roomFirst
 	default:
-		e.room += roomRise * e.room
+		e.room += roomRise * math.Max(e.room, 1)
 	}
 }
 
@@ -775,6 +788,7 @@
 	doubted := e.bad >= 1 && e.bad > doubtAt*(e.good+e.bad)
 	if doubted != e.doubted {
 		e.doubted = doubted
+		b.count()
 		if doubted {
 			b.Note(fmt.Sprintf("endpoint %s doubtful: %.0f bad of %.0f outcomes", e.id, e.bad, e.good+e.bad))
 		} else {
@@ -783,6 +797,17 @@
 	}
 }
 
+// count tells whether most endpoints are doubtful: then the trouble is shared and none is left out.
+func (b *Balancer) count() {
+	doubts := 0
+	for _, e := range b.ready {
+		if e.doubted || e.silent {
+			doubts++
+		}
+	}
+	b.mostDoubt = doubts*2 > len(b.ready)
+}
+
 // pulse is the regular upkeep.
 func (b *Balancer) pulse() {
 	b.Wake(b.beat, 0)
@@ -800,7 +825,7 @@
 	if b.now-b.ratioAt >= copyRefresh {
 		b.ratioAt, b.ratio = b.now, b.copyRatioNow()
 	}
-	tails, doubts := b.sorted[:0], 0
+	tails := b.sorted[:0]
 	for _, e := range b.ready {
 		tails = append(tails, e.tail)
 	}
@@ -821,9 +846,6 @@
 		if e.legs == 0 {
 			e.pace += (1 - b.fade) * (1 - e.pace) * 0.5
 		}
-		if e.doubted || e.silent {
-			doubts++
-		}
 		if b.isCold(e) {
 			own := b.rate * e.size / math.Max(b.meanSize*float64(len(b.ready)), 0.01)
 			allowed := b.coldRate * b.capacityNow(e) * math.Max(own, 0.5/b.usual/b.fleet)
@@ -831,7 +853,7 @@
 		}
 		b.judge(e)
 	}
-	b.mostDoubt = doubts*2 > len(b.ready)
+	b.count()
 	if crowded := len(b.queue) > 0; crowded != b.crowded {
 		b.crowded = crowded
 		b.Note(fmt.Sprintf("queueing %t: %.2f late, %d legs out", crowded, b.late, b.out))
