--- a/logic/logic.go
+++ b/logic/logic.go
@@ -58,6 +58,7 @@
 	shareSlack    = 1.1  // on a tenant's share
 	lateMost      = 0.3  // share of late legs that is everybody's trouble
 	lateGain      = 0.02
+	excuseMost    = 0.25 // share of late legs that may be a product's own way
 	awayOdds      = 0.35
 	awayDrag      = 1.4
 	listBackoff   = 0.05 // of ask-within: the first wait after a failed call, doubled up to ...
@@ -88,16 +89,17 @@
 // product is a Product with what decisions use.
 type product struct {
 	Product
-	usual    float64 // mean time of a satisfied leg
-	answers  float64
-	usualAt  Millis
-	overdueW bool // an answer past the expected time is worth something
+	usual           float64 // mean time of a satisfied leg
+	answers         float64
+	usualAt         Millis
+	overdueW        bool    // an answer past the expected time is worth something
+	late, lateAlone float64 // shares of late legs: of all, and of those sent alone to an endpoint
 }
 
 type leg struct {
-	to              *endpoint
-	sent            Millis
-	ended, neverRan bool
+	to                     *endpoint
+	sent                   Millis
+	ended, neverRan, alone bool
 }
 
 type what int
@@ -351,7 +353,7 @@
 		e.since = b.now
 	}
 	patience := b.patience(x)
-	x.legs = append(x.legs, leg{to: e, sent: b.now})
+	x.legs = append(x.legs, leg{to: e, sent: b.now, alone: e.legs == 0})
 	x.out, e.legs, b.out, b.sent = x.out+1, e.legs+1, b.out+1, b.sent+1
 	x.next = stepRunning
 	b.Send(x.id, e.id, patience)
@@ -769,9 +771,17 @@
 		return
 	}
 	b.late -= lateGain * b.late
+	p, was := x.product, 0.0
+	if late {
+		b.late, was = b.late+lateGain, 1
+	}
+	p.late += lateGain * (was - p.late)
+	if l.alone {
+		p.lateAlone += lateGain * (was - p.lateAlone)
+	}
 	switch {
+	case late && b.chance()*p.late < math.Min(p.lateAlone, excuseMost):
 	case late:
-		b.late += lateGain
 		if l.sent >= e.braked {
 			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
 		}
