--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,11 +36,11 @@
 	memoryShare   = 8.0  // of the longest expected time: how long health evidence counts
 	paceGain      = 0.15 // of an answer in its endpoint's pace
 	lateShare     = 0.4  // of the expected time: a leg that takes longer finds its endpoint crowded
-	roomAtStart   = 2.0
+	roomAtStart   = 1.0
 	roomLeast     = 4.0     // legs of all sidecars together that an endpoint's room leaves at the least
 	roomOver      = 1.5     // legs out over all rooms together
-	roomFirst     = 0.25    // an endpoint's room grows by this much an answer until the first late one,
-	roomRise      = 0.03    // then by this part,
+	roomFirst     = 0.1    // an endpoint's room grows by this much an answer until the first late one,
+	roomRise      = 0.02    // then by this part,
 	roomFall      = 0.8     // and falls to this part at a late one, once for all legs then out
 	usualAtStart  = 0.25    // of the shortest expected time
 	usualMemory   = 30000.0 // milliseconds over which a product's usual time is averaged
@@ -58,7 +58,6 @@
 	shareSlack    = 1.1  // on a tenant's share
 	lateMost      = 0.3  // share of late legs that is everybody's trouble
 	lateGain      = 0.02
-	excuseMost    = 0.25 // share of late legs that may be a product's own way
 	awayOdds      = 0.35
 	awayDrag      = 1.4
 	listBackoff   = 0.05 // of ask-within: the first wait after a failed call, doubled up to ...
@@ -89,17 +88,16 @@
 // product is a Product with what decisions use.
 type product struct {
 	Product
-	usual           float64 // mean time of a satisfied leg
-	answers         float64
-	usualAt         Millis
-	overdueW        bool    // an answer past the expected time is worth something
-	late, lateAlone float64 // shares of late legs: of all, and of those sent alone to an endpoint
+	usual    float64 // mean time of a satisfied leg
+	answers  float64
+	usualAt  Millis
+	overdueW bool // an answer past the expected time is worth something
 }
 
 type leg struct {
-	to                     *endpoint
-	sent                   Millis
-	ended, neverRan, alone bool
+	to              *endpoint
+	sent            Millis
+	ended, neverRan bool
 }
 
 type what int
@@ -353,7 +351,7 @@
 		e.since = b.now
 	}
 	patience := b.patience(x)
-	x.legs = append(x.legs, leg{to: e, sent: b.now, alone: e.legs == 0})
+	x.legs = append(x.legs, leg{to: e, sent: b.now})
 	x.out, e.legs, b.out, b.sent = x.out+1, e.legs+1, b.out+1, b.sent+1
 	x.next = stepRunning
 	b.Send(x.id, e.id, patience)
@@ -771,17 +769,9 @@
 		return
 	}
 	b.late -= lateGain * b.late
-	p, was := x.product, 0.0
-	if late {
-		b.late, was = b.late+lateGain, 1
-	}
-	p.late += lateGain * (was - p.late)
-	if l.alone {
-		p.lateAlone += lateGain * (was - p.lateAlone)
-	}
 	switch {
-	case late && b.chance()*p.late < math.Min(p.lateAlone, excuseMost):
 	case late:
+		b.late += lateGain
 		if l.sent >= e.braked {
 			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
 		}
