--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,7 +20,7 @@
 const (
 	weightLeast, weightMost, weightFall, weightRise = 0.05, 1.0, 0.5, 0.1
 
-	copyPercentile = 0.95
+	copyPercentile = 0.98
 	copyFloor      = 20  // samples before the timer is trusted
 	copyRatio      = 0.1 // copies to exchanges
 	copyWindow     = 10000.0
@@ -39,7 +39,7 @@
 	roomAtStart   = 1.0
 	roomLeast     = 4.0     // legs of all sidecars together that an endpoint's room leaves at the least
 	roomOver      = 1.5     // legs out over all rooms together
-	roomFirst     = 0.1    // an endpoint's room grows by this much an answer until the first late one,
+	roomFirst     = 0.1     // an endpoint's room grows by this much an answer until the first late one,
 	roomRise      = 0.02    // then by this part,
 	roomFall      = 0.8     // and falls to this part at a late one, once for all legs then out
 	usualAtStart  = 0.25    // of the shortest expected time
@@ -58,8 +58,8 @@
 	shareSlack    = 1.1  // on a tenant's share
 	lateMost      = 0.3  // share of late legs that is everybody's trouble
 	lateGain      = 0.02
-	awayOdds      = 0.35
-	awayDrag      = 1.4
+	awayOdds      = 0.1
+	awayDrag      = 3.0
 	listBackoff   = 0.05 // of ask-within: the first wait after a failed call, doubled up to ...
 	listBackMost  = 0.25
 )
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -57,13 +57,13 @@
 	assert.Greater(t, got["a"], 0)
 }
 
-func TestTimerIsThe95thPercentileAfter20Samples(t *testing.T) {
+func TestTimerIsAPercentileAfter20Samples(t *testing.T) {
 	b, r := begin("abcd")
 	for n := range 20 {
 		assert.Zero(t, b.timer)
 		serve(b, r, 1, Millis(10*(n+1)))
 	}
-	near(t, 190, float64(b.timer))
+	near(t, 190, float64(b.timer)) // of 20, the last but one
 }
 
 func TestCopy(t *testing.T) {
