--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,12 +32,12 @@
 
 // Ours, as ratios to what the terms say or what is seen.
 const (
-	beatShare     = 0.2  // of the shortest expected time: the pulse of upkeep
-	memoryShare   = 8.0  // of the longest expected time: how long health evidence counts
-	paceGain      = 0.15 // of an answer in its endpoint's pace
-	lateShare     = 0.4  // of the expected time: a leg that takes longer finds its endpoint crowded
-	roomAtStart   = 1.0
-	roomLeast     = 4.0     // legs of all sidecars together that an endpoint's room leaves at the least
+	beatShare     = 0.2     // of the shortest expected time: the pulse of upkeep
+	memoryShare   = 8.0     // of the longest expected time: how long health evidence counts
+	paceGain      = 0.15    // of an answer in its endpoint's pace
+	lateShare     = 0.4     // of the expected time: a leg that takes longer finds its endpoint crowded
+	roomAtStart   = 2.0     // times the least
+	roomLeast     = 3.0     // legs of all sidecars together that an endpoint's room leaves at the least
 	roomOver      = 1.5     // legs out over all rooms together
 	roomFirst     = 0.1     // an endpoint's room grows by this much an answer until the first late one,
 	roomRise      = 0.02    // then by this part,
@@ -260,7 +260,7 @@
 	if len(b.ready) == 0 {
 		e.weight, e.pace, e.tail = weightMost, 1, 2
 	}
-	e.answers, e.room, e.braked, e.good, e.bad, e.silent, e.doubted = 0, roomAtStart, 0, 0, 0, false, false
+	e.answers, e.room, e.braked, e.good, e.bad, e.silent, e.doubted = 0, math.Min(roomAtStart*b.roomLeast, 1), 0, 0, 0, false, false
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 }
 
