--- a/logic/logic.go
+++ b/logic/logic.go
@@ -58,9 +58,6 @@
 	shareSlack    = 1.1  // on a tenant's share
 	lateMost      = 0.3  // share of late legs that is everybody's trouble
 	lateGain      = 0.02
-	restAfter     = 4.0
-	restShare     = 5.0 // of the longest expected time
-	restMost      = 0.5
 	awayOdds      = 0.1
 	awayDrag      = 3.0
 	listBackoff   = 0.05 // of ask-within: the first wait after a failed call, doubled up to ...
@@ -83,8 +80,6 @@
 	answers         int
 	room            float64 // legs it may have
 	braked          Millis  // when room last fell; 0 before
-	lates           int     // late legs in a row
-	restsTo         Millis  // it gets nothing until then
 	good, bad       float64 // fading counts of outcomes
 	silent, doubted bool
 	tokens          float64 // cold budget, in exchanges of mean work
@@ -156,7 +151,6 @@
 	advice                                     Millis // the longest that clients heed; 0 for none
 	askFirst, askMost, cold, fall, beat, slack Millis
 	roomLeast                                  float64
-	rest                                       Millis
 	fade                                       float64 // what a beat leaves of an old count
 
 	// The list.
@@ -211,7 +205,6 @@
 	}
 	b.unknown = product{Product: Product{Value: 1}, usualAt: now, overdueW: true}
 	b.beat, b.usual = shortest*beatShare, float64(shortest)*usualAtStart
-	b.rest = longest * restShare
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
 	b.Wake(b.beat, 0)
 	if b.mustAsk {
@@ -581,7 +574,7 @@
 		total := 0.0
 		for i, e := range b.ready {
 			b.odds[i] = 0
-			if b.now < e.restsTo || float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 1 && x.tried(e) || !b.trusts(x, e) {
+			if float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 1 && x.tried(e) || !b.trusts(x, e) {
 				continue
 			}
 			b.odds[i] = e.weight * e.size * b.capacityNow(e)
@@ -776,16 +769,9 @@
 		return
 	}
 	b.late -= lateGain * b.late
-	e.lates++
-	if !late {
-		e.lates = 0
-	}
 	switch {
 	case late:
 		b.late += lateGain
-		if e.lates >= restAfter && b.now > e.restsTo+b.rest && b.resting() < restMost*float64(len(b.ready)) {
-			e.lates, e.restsTo = 0, b.now+b.rest
-		}
 		if l.sent >= e.braked {
 			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
 		}
@@ -797,17 +783,6 @@
 	}
 }
 
-// resting counts the endpoints that are left alone to recover.
-func (b *Balancer) resting() float64 {
-	n := 0.0
-	for _, e := range b.ready {
-		if b.now < e.restsTo {
-			n++
-		}
-	}
-	return n
-}
-
 // judge decides whether an endpoint is doubtful, and says so when that changes.
 func (b *Balancer) judge(e *endpoint) {
 	doubted := e.bad >= 1 && e.bad > doubtAt*(e.good+e.bad)
