--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,12 +33,13 @@
 // Ours, as ratios to what the terms say or what is seen.
 const (
 	beatShare     = 0.2     // of the shortest expected time: the pulse of upkeep
+	lastingShare  = 1.0     // of the longest expected time: how long a state lasts before staff are told
 	memoryShare   = 8.0     // of the longest expected time: how long health evidence counts
 	paceGain      = 0.15    // of an answer in its endpoint's pace
 	lateShare     = 0.4     // of the expected time: a leg that takes longer finds its endpoint crowded
 	roomAtStart   = 2.0     // times the least
-	roomLeast     = 3.0     // legs of all sidecars together that an endpoint's room leaves at the least
-	roomOver      = 1.5     // legs out over all rooms together
+	roomLeast     = 4.0     // legs of all sidecars together that an endpoint's room leaves at the least
+	roomOver      = 1.2     // legs out over all rooms together
 	roomFirst     = 0.1     // an endpoint's room grows by this much an answer until the first late one,
 	roomRise      = 0.02    // then by this part,
 	roomFall      = 0.8     // and falls to this part at a late one, once for all legs then out
@@ -66,18 +67,21 @@
 
 // endpoint is all that is known of one server.
 type endpoint struct {
-	id              EndpointID
-	zone            ZoneID
-	cell            CellID
-	listed, running bool
-	readyAt         Millis
-	size            float64 // listed size
+	id                    EndpointID
+	zone                  ZoneID
+	cell                  CellID
+	size                  float64 // as listed
+	readyAt               Millis
+	listed, running, told bool // told: staff know that it is doubtful
+	legs                  int
+	since, changed        Millis // last answer, or when the first leg out was sent; last change of doubt
+	seen
+}
+
+// seen is what was learned of an endpoint's process.
+type seen struct {
 	weight          float64
-	legs            int
-	since           Millis  // last answer, or when the first leg out was sent
-	pace            float64 // answer time over the product's usual
-	tail            float64 // high quantile of the same
-	answers         int
+	pace, tail      float64 // answer time over the product's usual: mean and high quantile
 	room            float64 // legs it may have
 	braked          Millis  // when room last fell; 0 before
 	good, bad       float64 // fading counts of outcomes
@@ -88,10 +92,9 @@
 // product is a Product with what decisions use.
 type product struct {
 	Product
-	usual    float64 // mean time of a satisfied leg
-	answers  float64
-	usualAt  Millis
-	overdueW bool // an answer past the expected time is worth something
+	usual   float64 // mean time of a satisfied leg
+	answers float64
+	usualAt Millis
 }
 
 type leg struct {
@@ -140,18 +143,18 @@
 	dice uint64
 
 	// From the terms.
-	zone                                       ZoneID
-	products                                   []product
-	unknown                                    product
-	tenants                                    []float64 // share of each
-	overShare, fleet, coldFrom                 float64
-	coldRate                                   float64 // all sidecars' legs to a cold endpoint over its capacity
-	maxLegs                                    int
-	copies, cancels, mustAsk                   bool
-	advice                                     Millis // the longest that clients heed; 0 for none
-	askFirst, askMost, cold, fall, beat, slack Millis
-	roomLeast                                  float64
-	fade                                       float64 // what a beat leaves of an old count
+	zone                                                ZoneID
+	products                                            []product
+	unknown                                             product
+	tenants                                             []float64 // share of each
+	overShare, fleet, coldFrom                          float64
+	coldRate                                            float64 // legs to a cold endpoint over its capacity
+	maxLegs                                             int
+	copies, cancels, mustAsk                            bool
+	advice                                              Millis // the longest that clients heed; 0 for none
+	askFirst, askMost, cold, fall, beat, slack, lasting Millis
+	roomLeast                                           float64
+	fade                                                float64 // what a beat leaves of an old count
 
 	// The list.
 	endpoints []*endpoint // in the order first heard of
@@ -159,7 +162,6 @@
 	ready     []*endpoint
 	odds      []float64 // of the ready ones, in a pick
 	meanSize  float64
-	away      bool // some are in other zones
 	askWait   Millis
 
 	// Exchanges in hand.
@@ -168,14 +170,15 @@
 	out                 int // legs
 
 	// What was learned.
-	recent, sorted                          [recentLength]float64 // latencies of satisfied legs
-	samples, timerAt                        int
-	timer, ratioAt                          Millis
-	window                                  [windowParts]struct{ copies, ended float64 }
-	part                                    int
-	ratio, retries, usual, late, sent, rate float64
-	admitted                                []float64 // fading count of each tenant's exchanges
-	mostDoubt, crowded                      bool
+	recent, sorted                                       [recentLength]float64 // latencies of satisfied legs
+	samples, timerAt                                     int
+	timer, ratioAt                                       Millis
+	window                                               [windowParts]struct{ copies, ended float64 }
+	part                                                 int
+	ratio, retries, usual, late, sent, rate, admittedAll float64
+	crowding                                             float64   // fading share of beats with a queue
+	admitted                                             []float64 // fading count of each tenant's exchanges
+	mostDoubt, crowded, shared                           bool
 }
 
 // New starts an instance that knows nothing but its terms.
@@ -195,7 +198,7 @@
 	}
 	shortest, longest := Millis(math.Inf(1)), Millis(0)
 	for _, p := range t.Products {
-		b.products = append(b.products, product{Product: p, usualAt: now, overdueW: p.Overdue > 0})
+		b.products = append(b.products, product{Product: p, usualAt: now})
 		if p.Expected > 0 {
 			shortest, longest = min(shortest, p.Expected), max(longest, p.Expected)
 		}
@@ -203,8 +206,9 @@
 	if longest == 0 {
 		shortest, longest = 1000, 1000
 	}
-	b.unknown = product{Product: Product{Value: 1}, usualAt: now, overdueW: true}
+	b.unknown = product{Product: Product{Value: 1, Overdue: 1, Expected: longest}, usualAt: now}
 	b.beat, b.usual = shortest*beatShare, float64(shortest)*usualAtStart
+	b.lasting = longest * lastingShare
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
 	b.Wake(b.beat, 0)
 	if b.mustAsk {
@@ -251,28 +255,23 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.weight, e.pace, e.tail = 0, 0, 0
-	for _, o := range b.ready {
-		e.weight += o.weight / float64(len(b.ready))
-		e.pace += o.pace / float64(len(b.ready))
-		e.tail += o.tail / float64(len(b.ready))
-	}
-	if len(b.ready) == 0 {
-		e.weight, e.pace, e.tail = weightMost, 1, 2
-	}
-	e.answers, e.room, e.braked, e.good, e.bad, e.silent, e.doubted = 0, math.Min(roomAtStart*b.roomLeast, 1), 0, 0, 0, false, false
+	e.seen = seen{weight: weightMost, pace: 1, tail: 2, room: math.Min(roomAtStart*b.roomLeast, 1)}
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
+	if n := float64(len(b.ready)); n > 0 {
+		e.weight, e.pace, e.tail = 0, 0, 0
+		for _, o := range b.ready {
+			e.weight, e.pace, e.tail = e.weight+o.weight/n, e.pace+o.pace/n, e.tail+o.tail/n
+		}
+	}
 }
 
 // ListEnds ends a list event. The disk's list is old; any other shows that the watch works.
 func (b *Balancer) ListEnds(fromDisk bool) {
 	b.ready, b.meanSize = b.ready[:0], 0
-	b.away = false
 	for _, e := range b.endpoints {
 		if e.running = e.running && e.listed; e.running {
 			b.ready = append(b.ready, e)
 			b.meanSize += e.size
-			b.away = b.away || e.zone != b.zone
 		}
 	}
 	b.meanSize /= math.Max(float64(len(b.ready)), 1)
@@ -286,6 +285,9 @@
 // ListFailed asks again, later each time but well inside the time after which silence counts as told.
 func (b *Balancer) ListFailed() {
 	if b.mustAsk {
+		if b.askWait == b.askMost {
+			b.Note("list service fails; working from the last list")
+		}
 		b.Wake(b.askWait*Millis(0.5+b.chance()), 1)
 		b.askWait = min(2*b.askWait, b.askMost)
 	}
@@ -300,7 +302,7 @@
 	if p >= 0 && int(p) < len(b.products) {
 		x.product = &b.products[p]
 	}
-	if !x.product.overdueW && x.product.Expected > 0 {
+	if x.product.Overdue <= 0 && x.product.Expected > 0 {
 		x.horizon = min(abandon, b.now+x.product.Expected)
 	}
 	b.open[id] = x
@@ -346,11 +348,13 @@
 	}
 	if len(x.legs) == 0 && x.tenant >= 0 && int(x.tenant) < len(b.admitted) {
 		b.admitted[x.tenant]++
+		b.admittedAll++
 	}
 	if e.legs == 0 {
 		e.since = b.now
 	}
-	patience := b.patience(x)
+	// A leg gets all the time left: cutting it for a further leg wastes more work than it saves.
+	patience := max(x.horizon-b.now-b.slack, b.slack/2, 1)
 	x.legs = append(x.legs, leg{to: e, sent: b.now})
 	x.out, e.legs, b.out, b.sent = x.out+1, e.legs+1, b.out+1, b.sent+1
 	x.next = stepRunning
@@ -361,13 +365,6 @@
 	return true
 }
 
-// patience is a leg's time-out: all that is left. Cutting it to leave room for another leg costs
-// more in wasted work than it saves; the copy comes first.
-func (b *Balancer) patience(x *exchange) Millis {
-	left := x.horizon - b.now - b.slack
-	return max(left, b.slack/2, 1)
-}
-
 func (b *Balancer) mayRepeat(x *exchange) bool {
 	return b.copies && x.product.Effect != SingleUse && len(x.legs) < b.maxLegs
 }
@@ -441,13 +438,13 @@
 
 // stepQueued awaits room; drain sends it on, the end of its wait gives it up.
 func stepQueued(b *Balancer, x *exchange, r result) {
-	if r.what == waitOver || r.what == clientLeft {
-		b.queue = slices.Delete(b.queue, slices.Index(b.queue, x), slices.Index(b.queue, x)+1)
-		if r.what == clientLeft {
-			b.finish(x)
-		} else {
-			b.giveUp(x)
-		}
+	switch r.what {
+	case waitOver:
+		b.leave(x)
+		b.giveUp(x)
+	case clientLeft:
+		b.leave(x)
+		b.finish(x)
 	}
 }
 
@@ -568,17 +565,18 @@
 		rooms += e.room
 	}
 	if float64(b.out+1) > math.Max(rooms*roomOver, 1) {
-		return nil
+		return nil // a large fleet's many small rooms must not add up to a crowd
 	}
 	for try := range 2 {
 		total := 0.0
 		for i, e := range b.ready {
 			b.odds[i] = 0
-			if float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 1 && x.tried(e) || !b.trusts(x, e) {
+			if float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 1 && x.tried(e) ||
+				!b.trusts(x, e) {
 				continue
 			}
 			b.odds[i] = e.weight * e.size * b.capacityNow(e)
-			if b.away && e.zone != b.zone {
+			if e.zone != b.zone {
 				b.odds[i] *= awayOdds
 			}
 			total += b.odds[i]
@@ -616,7 +614,7 @@
 // load is the design's count of legs in flight, each as long as this endpoint takes.
 func (b *Balancer) load(e *endpoint) float64 {
 	l := float64(e.legs+1) * e.pace
-	if b.away && e.zone != b.zone {
+	if e.zone != b.zone {
 		l *= awayDrag
 	}
 	return l
@@ -659,7 +657,7 @@
 	b.queue = append(b.queue, x)
 	b.wakeFor(x, max(min(x.horizon-b.now-Millis(b.usualOf(x)), (x.horizon-b.now)/2), 1), waitOver)
 	for len(b.queue) > 0 {
-		least := slices.MinFunc(b.queue, func(p, q *exchange) int { return cmp.Compare(b.rank(p), b.rank(q)) })
+		least := slices.MinFunc(b.queue, b.byRank)
 		wait := float64(len(b.queue)) * b.usual / math.Max(float64(b.out), 1)
 		if wait <= queueShare*float64(least.horizon-b.now) {
 			break
@@ -673,27 +671,29 @@
 func (b *Balancer) rank(x *exchange) float64 {
 	r := x.product.Value / b.usualOf(x)
 	if x.tenant >= 0 && int(x.tenant) < len(b.admitted) {
-		total := 0.0
-		for _, a := range b.admitted {
-			total += a
-		}
-		if b.admitted[x.tenant] > shareSlack*b.tenants[x.tenant]*total {
+		if b.admitted[x.tenant] > shareSlack*b.tenants[x.tenant]*b.admittedAll {
 			r *= b.overShare
 		}
 	}
 	return r
 }
 
+func (b *Balancer) byRank(p, q *exchange) int { return cmp.Compare(b.rank(p), b.rank(q)) }
+
+func (b *Balancer) leave(x *exchange) {
+	at := slices.Index(b.queue, x)
+	b.queue = slices.Delete(b.queue, at, at+1)
+}
+
 // drain sends from the queue while there is room, the worthiest first.
 func (b *Balancer) drain() {
 	for len(b.queue) > 0 {
-		x := slices.MaxFunc(b.queue, func(p, q *exchange) int { return cmp.Compare(b.rank(p), b.rank(q)) })
+		x := slices.MaxFunc(b.queue, b.byRank)
 		e := b.pick(x)
 		if e == nil {
 			return
 		}
-		at := slices.Index(b.queue, x)
-		b.queue = slices.Delete(b.queue, at, at+1)
+		b.leave(x)
 		b.send(x, e)
 	}
 }
@@ -747,18 +747,13 @@
 	p.usual, p.usualAt = p.usual+gain*(took-p.usual), b.now
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
 	r := took / math.Max(p.usual, 0.001)
-	e.answers++
 	e.pace += paceGain * (r - e.pace)
 	if r > e.tail {
 		e.tail += tailStep * tailQuantile * e.tail
 	} else {
 		e.tail -= tailStep * (1 - tailQuantile) * e.tail
 	}
-	if e.doubted && r > slowTail*2 {
-		e.bad++
-	} else {
-		e.good++
-	}
+	e.good++
 }
 
 // widen lets an endpoint's room follow whether its legs come back well inside the expected time, so
@@ -783,18 +778,34 @@
 	}
 }
 
-// judge decides whether an endpoint is doubtful, and says so when that changes.
+// judge decides whether an endpoint is doubtful.
 func (b *Balancer) judge(e *endpoint) {
-	doubted := e.bad >= 1 && e.bad > doubtAt*(e.good+e.bad)
-	if doubted != e.doubted {
-		e.doubted = doubted
+	if doubted := e.bad >= 1 && e.bad > doubtAt*(e.good+e.bad); doubted != e.doubted {
+		e.doubted, e.changed = doubted, b.now
 		b.count()
-		if doubted {
-			b.Note(fmt.Sprintf("endpoint %s doubtful: %.0f bad of %.0f outcomes", e.id, e.bad, e.good+e.bad))
-		} else {
-			b.Note(fmt.Sprintf("endpoint %s trusted again", e.id))
+	}
+}
+
+// report tells on-call staff of states that last; what comes and goes in a moment is no news.
+func (b *Balancer) report() {
+	for _, e := range b.ready {
+		if e.doubted != e.told && b.now-e.changed > b.lasting {
+			e.told = e.doubted
+			b.Note(fmt.Sprintf("%s doubtful %t: %.0f of %.0f bad", e.id, e.told, e.bad, e.good+e.bad))
 		}
 	}
+	b.crowding -= float64(b.beat/b.lasting) * b.crowding
+	if len(b.queue) > 0 {
+		b.crowding += float64(b.beat / b.lasting)
+	}
+	if crowded := b.crowding > 0.5; crowded != b.crowded && math.Abs(b.crowding-0.5) > 0.3 {
+		b.crowded = crowded
+		b.Note(fmt.Sprintf("overload %t: %d legs out, %.0f%% late", crowded, b.out, 100*b.late))
+	}
+	if shared := b.mostDoubt || b.late > lateMost; shared != b.shared && (shared || b.late < lateMost/2) {
+		b.shared = shared
+		b.Note(fmt.Sprintf("trouble shared by most endpoints %t: %.0f%% of legs late", shared, 100*b.late))
+	}
 }
 
 // count tells whether most endpoints are doubtful: then the trouble is shared and none is left out.
@@ -813,14 +824,13 @@
 	b.Wake(b.beat, 0)
 	b.rate += (1 - math.Exp(-float64(b.beat)/2000)) * (b.sent/float64(b.beat) - b.rate)
 	b.sent = 0
+	b.admittedAll *= b.fade
 	for t := range b.admitted {
 		b.admitted[t] *= b.fade
 	}
-	if part := int(float64(b.now)/(copyWindow/windowParts)) % windowParts; part != b.part {
-		for b.part != part {
-			b.part = (b.part + 1) % windowParts
-			b.window[b.part].copies, b.window[b.part].ended = 0, 0
-		}
+	for part := int(float64(b.now)/(copyWindow/windowParts)) % windowParts; b.part != part; {
+		b.part = (b.part + 1) % windowParts
+		b.window[b.part].copies, b.window[b.part].ended = 0, 0
 	}
 	if b.now-b.ratioAt >= copyRefresh {
 		b.ratioAt, b.ratio = b.now, b.copyRatioNow()
@@ -839,7 +849,7 @@
 			e.silent = true // taking work and answering none: seen before any time-out runs out
 			e.bad += 2
 		}
-		if e.tail > slowTail*typical && e.answers > 0 {
+		if e.tail > slowTail*typical {
 			e.bad = math.Max(e.bad, 1+doubtAt*2*e.good)
 		}
 		e.tail += (1 - b.fade) * (typical - e.tail) // what is not asked is not condemned for ever
@@ -854,10 +864,7 @@
 		b.judge(e)
 	}
 	b.count()
-	if crowded := len(b.queue) > 0; crowded != b.crowded {
-		b.crowded = crowded
-		b.Note(fmt.Sprintf("queueing %t: %.2f late, %d legs out", crowded, b.late, b.out))
-	}
+	b.report()
 	b.drain()
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -298,7 +298,7 @@
 	assert.Empty(t, arrive(b, r, "high", farReaching))
 	b.Ended("x", 0, Satisfied, 100, true)
 	assert.Equal(t, "send high a", r.take("send")[0])
-	b.admitted[0], b.admitted[1] = 9, 1
+	b.admitted[0], b.admitted[1], b.admittedAll = 9, 1, 10
 	over, within := &exchange{product: &b.products[0], tenant: 0}, &exchange{product: &b.products[0], tenant: 1}
 	assert.Less(t, b.rank(over), b.rank(within))
 	for n := range 50 {
