--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,7 +39,8 @@
 	lateShare     = 0.4     // of the expected time: a leg that takes longer finds its endpoint crowded
 	roomAtStart   = 2.0     // times the least
 	roomLeast     = 4.0     // legs of all sidecars together that an endpoint's room leaves at the least
-	roomOver      = 1.2     // legs out over all rooms together
+	roomOver      = 1.1     // legs out over all rooms together
+	roomSmall     = 0.4     // more of it, where a small fleet's rooms are whole legs
 	roomFirst     = 0.1     // an endpoint's room grows by this much an answer until the first late one,
 	roomRise      = 0.02    // then by this part,
 	roomFall      = 0.8     // and falls to this part at a late one, once for all legs then out
@@ -285,10 +286,10 @@
 // ListFailed asks again, later each time but well inside the time after which silence counts as told.
 func (b *Balancer) ListFailed() {
 	if b.mustAsk {
-		if b.askWait == b.askMost {
+		b.Wake(b.askWait*Millis(0.5+b.chance()), 1)
+		if b.askWait < b.askMost && 2*b.askWait >= b.askMost {
 			b.Note("list service fails; working from the last list")
 		}
-		b.Wake(b.askWait*Millis(0.5+b.chance()), 1)
 		b.askWait = min(2*b.askWait, b.askMost)
 	}
 }
@@ -564,7 +565,7 @@
 	for _, e := range b.ready {
 		rooms += e.room
 	}
-	if float64(b.out+1) > math.Max(rooms*roomOver, 1) {
+	if float64(b.out+1) > math.Max(rooms*(roomOver+roomSmall*b.roomLeast), 1) {
 		return nil // a large fleet's many small rooms must not add up to a crowd
 	}
 	for try := range 2 {
