--- a/logic/logic.go
+++ b/logic/logic.go
@@ -563,7 +563,7 @@
 func (b *Balancer) pick(x *exchange) *endpoint {
 	rooms := 0.0
 	for _, e := range b.ready {
-		rooms += e.room
+		rooms += e.room * b.capacityNow(e) // a cold server's room is not there yet
 	}
 	if float64(b.out+1) > math.Max(rooms*(roomOver+roomSmall*b.roomLeast), 1) {
 		return nil // a large fleet's many small rooms must not add up to a crowd
