--- a/logic/logic.go
+++ b/logic/logic.go
@@ -58,8 +58,8 @@
 	rememberShare = 0.8  // of the time a group remembers within which a repeat is sent
 	queueShare    = 0.12 // of the time left that may be spent in the queue
 	shareSlack    = 1.1  // on a tenant's share
-	lateMost      = 0.3  // share of late legs that makes an endpoint slow; over half slow is shared
-	lateGain      = 0.1
+	lateMost      = 0.3  // share of late legs that is everybody's trouble
+	lateGain      = 0.02
 	awayOdds      = 0.1
 	awayDrag      = 3.0
 	listBackoff   = 0.05 // of ask-within: the first wait after a failed call, doubled up to ...
@@ -83,7 +83,6 @@
 type seen struct {
 	weight          float64
 	pace, tail      float64 // answer time over the product's usual: mean and high quantile
-	late            float64 // recent share of late legs
 	room            float64 // legs it may have
 	braked          Millis  // when room last fell; 0 before
 	good, bad       float64 // fading counts of outcomes
@@ -172,17 +171,15 @@
 	out                 int // legs
 
 	// What was learned.
-	recent, sorted                                 [recentLength]float64 // latencies of satisfied legs
-	samples, timerAt                               int
-	timer, ratioAt                                 Millis
-	window                                         [windowParts]struct{ copies, ended float64 }
-	part                                           int
-	ratio, retries, usual, sent, rate, admittedAll float64
-	crowding                                       float64   // fading share of beats with a queue
-	admitted                                       []float64 // fading count of each tenant's exchanges
-	lates                                          int       // endpoints with many late legs
-	changed                                        Millis    // when staff were last told of shared trouble
-	told, mostDoubt, crowded, shared               bool
+	recent, sorted                                       [recentLength]float64 // latencies of satisfied legs
+	samples, timerAt                                     int
+	timer, ratioAt                                       Millis
+	window                                               [windowParts]struct{ copies, ended float64 }
+	part                                                 int
+	ratio, retries, usual, late, sent, rate, admittedAll float64
+	crowding                                             float64   // fading share of beats with a queue
+	admitted                                             []float64 // fading count of each tenant's exchanges
+	mostDoubt, crowded, shared                           bool
 }
 
 // New starts an instance that knows nothing but its terms.
@@ -504,7 +501,7 @@
 // copy sends the second leg of the design, unless all are slow: then copies only feed the trouble.
 func (b *Balancer) copy(x *exchange) {
 	if x.out != 1 || len(x.legs) > 1 || !b.mayRepeat(x) || b.ratio >= copyRatio ||
-		b.shared {
+		b.late > lateMost {
 		return
 	}
 	if e := b.pick(x); e != nil && b.send(x, e) {
@@ -767,10 +764,10 @@
 	if o != Satisfied && !late {
 		return
 	}
-	e.late -= lateGain * e.late
+	b.late -= lateGain * b.late
 	switch {
 	case late:
-		e.late += lateGain
+		b.late += lateGain
 		if l.sent >= e.braked {
 			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
 		}
@@ -804,27 +801,23 @@
 	}
 	if crowded := b.crowding > 0.5; crowded != b.crowded && math.Abs(b.crowding-0.5) > 0.3 {
 		b.crowded = crowded
-		b.Note(fmt.Sprintf("overload %t: %d legs out, endpoints late: %d", crowded, b.out, b.lates))
+		b.Note(fmt.Sprintf("overload %t: %d legs out, %.0f%% late", crowded, b.out, 100*b.late))
 	}
-	if shared := b.mostDoubt || 2*b.lates > len(b.ready); shared != b.told && b.now-b.changed > b.lasting {
-		b.told, b.changed = shared, b.now
-		b.Note(fmt.Sprintf("trouble shared by most endpoints %t: legs late at %d", shared, b.lates))
+	if shared := b.mostDoubt || b.late > lateMost; shared != b.shared && (shared || b.late < lateMost/2) {
+		b.shared = shared
+		b.Note(fmt.Sprintf("trouble shared by most endpoints %t: %.0f%% of legs late", shared, 100*b.late))
 	}
 }
 
 // count tells whether most endpoints are doubtful: then the trouble is shared and none is left out.
 func (b *Balancer) count() {
 	doubts := 0
-	b.lates = 0
 	for _, e := range b.ready {
 		if e.doubted || e.silent {
 			doubts++
 		}
-		if e.late > lateMost {
-			b.lates++
-		}
 	}
-	b.mostDoubt, b.shared = doubts*2 > len(b.ready), b.lates*2 > len(b.ready)
+	b.mostDoubt = doubts*2 > len(b.ready)
 }
 
 // pulse is the regular upkeep.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -82,11 +82,7 @@
 	} {
 		b, r := begin("abcd")
 		serve(b, r, 40, 50)
-		b.ratio = c.ratio
-		for _, e := range b.ready {
-			e.late = c.late
-		}
-		b.count()
+		b.ratio, b.late = c.ratio, c.late
 		first := arrive(b, r, "x", c.product)
 		x := b.open["x"]
 		b.At(b.now + b.timer)
