--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -16,7 +16,7 @@
 func (r *record) Cancel(x ExchangeID, n LegNo)               { r.add("cancel %s %d", x, n) }
 func (r *record) Dismiss(x ExchangeID, _ Millis)             { r.add("dismiss %s", x) }
 func (r *record) Forfeit(x ExchangeID)                       { r.add("forfeit %s", x) }
-func (r *record) Wake(_ Millis, t TimerID)                   { r.add("wake %d", t) }
+func (r *record) Wake(after Millis, t TimerID)               { r.add("wake %d %.4f", t, after) }
 func (r *record) Watch()                                     { r.add("watch") }
 func (r *record) Note(line string)                           { r.add("note %s", line) }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,9 +59,9 @@
 	queueShare    = 0.12 // of the time left that may be spent in the queue
 	shareSlack    = 1.1  // on a tenant's share
 	lateMost      = 0.3  // share of late legs that is everybody's trouble
-	lateGain      = 0.02
-	awayOdds      = 0.1
-	awayDrag      = 3.0
+	lateGain      = 0.02 // of a leg in that share
+	awayOdds      = 0.1  // draw of other zones: their price and way, but they must carry a zone that is full
+	awayDrag      = 3.0  // and their legs count so many times
 	listBackoff   = 0.05 // of ask-within: the first wait after a failed call, doubled up to ...
 	listBackMost  = 0.25
 )
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -174,7 +174,7 @@
 	arrive(b, r, "x", replayable)
 	assert.Empty(t, b.open, "answered at once, nothing kept")
 	b.ListFailed()
-	assert.Equal(t, []string{"wake 1"}, r.take("wake"))
+	assert.Len(t, r.take("wake 1 "), 1)
 	b.Alarm(1)
 	assert.Equal(t, []string{"watch"}, r.take("watch"))
 }
@@ -346,6 +346,99 @@
 	assert.True(t, b.known["a"].doubted)
 }
 
+// A slowdown shared by all must eject none and stop the copies.
+func TestSharedTroubleEjectsNone(t *testing.T) {
+	b, r := begin("abcd")
+	for _, e := range b.ready {
+		e.bad, e.good = 8, 1
+		b.judge(e)
+		e.bad, e.good = 8, 1
+	}
+	assert.True(t, b.mostDoubt)
+	got := map[EndpointID]bool{}
+	for n := range 40 {
+		x := ExchangeID(fmt.Sprint(n))
+		got[arrive(b, r, x, singleUse)] = true
+		b.Ended(x, 0, Cancelled, 1, true)
+	}
+	assert.Len(t, got, 4)
+}
+
+// Machines that take longer must get less, by what they can do.
+func TestUnequalMachines(t *testing.T) {
+	b, r := begin("abcd")
+	times := map[EndpointID]Millis{"a": 300, "b": 50, "c": 50, "d": 50}
+	got := map[EndpointID]int{}
+	for n := range 300 {
+		x := ExchangeID(fmt.Sprint(n))
+		to := arrive(b, r, x, replayable)
+		got[to]++
+		b.At(b.now + times[to])
+		b.Ended(x, 0, Satisfied, times[to], true)
+	}
+	assert.Less(t, got["a"], 45)
+	assert.Greater(t, got["a"], 0)
+}
+
+// The own zone comes first; without room there, or cut off from it, the others carry the work.
+func TestZones(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		room        float64
+		gone        bool
+		least, most int
+	}{
+		{"own zone first", 4, false, 0, 15},
+		{"own zone full", 0, false, 60, 60},
+		{"own zone gone", 4, true, 60, 60},
+	} {
+		b, r := begin("abcd")
+		for _, id := range []EndpointID{"c", "d"} {
+			b.Listed(id, Running, 1, 9, 1, 0)
+		}
+		if c.gone {
+			b.Listed("a", NotRunning, 0, 0, 1, 0)
+			b.Listed("b", NotRunning, 0, 0, 1, 0)
+		}
+		b.ListEnds(false)
+		away := 0
+		for n := range 60 {
+			x := ExchangeID(fmt.Sprint(n))
+			b.known["a"].room, b.known["b"].room = c.room, c.room
+			b.known["c"].room, b.known["d"].room = 4, 4
+			if c.room == 0 {
+				b.known["a"].legs, b.known["b"].legs = 1, 1
+			}
+			if to := arrive(b, r, x, replayable); to == "c" || to == "d" {
+				away++
+			}
+			b.Ended(x, 0, Satisfied, 50, true)
+		}
+		assert.GreaterOrEqual(t, away, c.least, c.name)
+		assert.LessOrEqual(t, away, c.most, c.name)
+	}
+}
+
+// Sidecars restarted together must not herd on one endpoint, nor ask the list service in step.
+func TestRestartedSidecarsSpread(t *testing.T) {
+	first, waits := map[EndpointID]int{}, map[string]bool{}
+	for seed := range uint64(40) {
+		b, r := begin("abcd")
+		b.dice ^= seed * 0x9e3779b97f4a7c15
+		first[arrive(b, r, "x", replayable)]++
+		before := b.askWait
+		b.ListFailed()
+		waits[r.take("wake 1 ")[0]] = true
+		assert.Greater(t, b.askWait, before)
+		for range 9 {
+			b.ListFailed()
+		}
+		assert.LessOrEqual(t, 1.5*float64(b.askWait), 10000.0/2, "well inside ask-within")
+	}
+	assert.Len(t, first, 4)
+	assert.Len(t, waits, 40)
+}
+
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	b, _ := begin("abcd")
 	b.Outgoing = nowhere{}
