--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,38 +32,37 @@
 
 // Ours, as ratios to what the terms say or what is seen.
 const (
-	beatShare     = 0.2     // of the shortest expected time: the pulse of upkeep
-	lastingShare  = 1.0     // of the longest expected time: how long a state lasts before staff are told
-	memoryShare   = 8.0     // of the longest expected time: how long health evidence counts
-	paceGain      = 0.15    // of an answer in its endpoint's pace
-	lateShare     = 0.4     // of the expected time: a leg that takes longer finds its endpoint crowded
-	roomAtStart   = 2.0     // times the least
-	roomLeast     = 4.0     // legs of all sidecars together that an endpoint's room leaves at the least
-	roomOver      = 1.1     // legs out over all rooms together
-	roomSmall     = 0.4     // more of it, where a small fleet's rooms are whole legs
-	roomFirst     = 0.1     // an endpoint's room grows by this much an answer until the first late one,
-	roomRise      = 0.02    // then by this part,
-	roomFall      = 0.8     // and falls to this part at a late one, once for all legs then out
-	usualAtStart  = 0.25    // of the shortest expected time
-	usualMemory   = 30000.0 // milliseconds over which a product's usual time is averaged
-	silenceAt     = 6.0     // answers that should have come in a silence
-	slowTail      = 2.5     // an endpoint's high quantile over its fellows' that is a fault
-	tailQuantile  = 0.9
-	tailStep      = 0.08
-	doubtAt       = 0.25 // share of bad outcomes that makes an endpoint doubtful
-	trustAt       = 0.8  // drawn chance of success that gives it a trial
-	coldMargin    = 0.4  // of the fall multiple that all sidecars together may use
-	retryEarn     = 0.15 // further legs earned by an exchange that ends
-	retryMost     = 12.0
-	rememberShare = 0.8  // of the time a group remembers within which a repeat is sent
-	queueShare    = 0.12 // of the time left that may be spent in the queue
-	shareSlack    = 1.1  // on a tenant's share
-	lateMost      = 0.3  // share of late legs that is everybody's trouble
-	lateGain      = 0.02 // of a leg in that share
-	awayOdds      = 0.1  // draw of other zones: their price and way, but they must carry a zone that is full
-	awayDrag      = 3.0  // and their legs count so many times
-	listBackoff   = 0.05 // of ask-within: the first wait after a failed call, doubled up to ...
-	listBackMost  = 0.25
+	beatShare                 = 0.2      // of the shortest expected time: the pulse of upkeep
+	lastingShare              = 1.0      // of the longest expected time: how long a state lasts before staff are told
+	memoryShare               = 8.0      // of the longest expected time: how long health evidence counts
+	paceGain                  = 0.15     // of an answer in its endpoint's pace
+	lateShare                 = 0.4      // of the expected time: a leg that takes longer finds its endpoint crowded;
+	lateBest, lateLimit       = 2.0, 0.5 // or over so many times its product's best mean, up to this share
+	roomAtStart               = 2.0      // times the least
+	roomLeast                 = 4.0      // legs of all sidecars together that an endpoint's room leaves at the least
+	roomOver                  = 1.1      // legs out over all rooms together
+	roomSmall                 = 0.4      // more of it, where a small fleet's rooms are whole legs
+	roomFirst                 = 0.1      // an endpoint's room grows by this much an answer until the first late one,
+	roomRise                  = 0.02     // then by this part,
+	roomFall                  = 0.8      // and falls to this part at a late one, once for all legs then out
+	usualAtStart              = 0.25     // of the shortest expected time
+	usualMemory               = 30000.0  // milliseconds over which a product's usual time is averaged
+	silenceAt                 = 6.0      // answers that should have come in a silence
+	slowTail                  = 2.5      // an endpoint's high quantile over its fellows' that is a fault
+	tailQuantile, tailStep    = 0.9, 0.08
+	doubtAt                   = 0.25 // share of bad outcomes that makes an endpoint doubtful
+	trustAt                   = 0.8  // drawn chance of success that gives it a trial
+	coldMargin                = 0.4  // of the fall multiple that all sidecars together may use
+	retryEarn                 = 0.15 // further legs earned by an exchange that ends
+	retryMost                 = 12.0
+	rememberShare             = 0.8        // of the time a group remembers within which a repeat is sent
+	queueShare                = 0.12       // of the time left that may be spent in the queue
+	shareSlack                = 1.1        // on a tenant's share
+	lateMost                  = 0.3        // share of late legs that is everybody's trouble
+	lateGain                  = 0.02       // of a leg in that share
+	awayOdds                  = 0.1        // draw of other zones: their price and way, but they must carry a zone that is full
+	awayDrag                  = 3.0        // and their legs count so many times
+	listBackoff, listBackMost = 0.05, 0.25 // of ask-within: the first wait after a failed call, and the longest
 )
 
 // endpoint is all that is known of one server.
@@ -93,9 +92,9 @@
 // product is a Product with what decisions use.
 type product struct {
 	Product
-	usual   float64 // mean time of a satisfied leg
-	answers float64
-	usualAt Millis
+	usual, best float64 // mean time of a satisfied leg: of late, and the least so far
+	answers     float64
+	usualAt     Millis
 }
 
 type leg struct {
@@ -746,6 +745,9 @@
 	p.answers++
 	gain := math.Max(1/p.answers, math.Min(float64(b.now-p.usualAt)/usualMemory, 1))
 	p.usual, p.usualAt = p.usual+gain*(took-p.usual), b.now
+	if p.answers <= copyFloor || p.usual < p.best {
+		p.best = p.usual
+	}
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
 	r := took / math.Max(p.usual, 0.001)
 	e.pace += paceGain * (r - e.pace)
@@ -760,7 +762,9 @@
 // widen lets an endpoint's room follow whether its legs come back well inside the expected time, so
 // that all sidecars together keep its queue short without knowing of each other.
 func (b *Balancer) widen(x *exchange, l *leg, o Outcome, took float64) {
-	e, late := l.to, took > lateShare*float64(x.product.Expected) || o == Full
+	e, expected := l.to, float64(x.product.Expected)
+	least := math.Max(lateShare*expected, lateBest*x.product.best)
+	late := o == Full || took > math.Min(least, lateLimit*expected)
 	if o != Satisfied && !late {
 		return
 	}
