--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,7 @@
 	memoryShare               = 8.0      // of the longest expected time: how long health evidence counts
 	paceGain                  = 0.15     // of an answer in its endpoint's pace
 	lateShare                 = 0.4      // of the expected time: a leg that takes longer finds its endpoint crowded;
-	lateBest, lateLimit       = 2.0, 0.5 // or over so many times its product's best mean, up to this share
+	lateBest, lateLimit       = 1.8, 0.5 // or over so many times its product's best mean, up to this share
 	roomAtStart               = 2.0      // times the least
 	roomLeast                 = 4.0      // legs of all sidecars together that an endpoint's room leaves at the least
 	roomOver                  = 1.1      // legs out over all rooms together
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -307,6 +307,24 @@
 	assert.Less(t, len(b.queue), 10, "what is not likely to be answered in time is dismissed at once")
 }
 
+// Work that takes long by itself must not narrow rooms as crowding does.
+func TestLate(t *testing.T) {
+	for _, c := range []struct {
+		best float64
+		took Millis
+		late bool
+	}{
+		{100, 390, false}, {100, 410, true}, {250, 440, false}, {250, 460, true}, {400, 490, false}, {400, 510, true},
+	} {
+		b, r := begin("a")
+		b.products[replayable].best, b.products[replayable].answers = c.best, copyFloor
+		b.products[replayable].usual = 600
+		arrive(b, r, "x", replayable)
+		b.Ended("x", 0, Satisfied, c.took, true)
+		assert.Equal(t, c.late, b.known["a"].braked > 0, "%v", c)
+	}
+}
+
 // A large fleet must not hold a leg of each sidecar at each server, which crowds them all.
 func TestRoomsOfALargeFleet(t *testing.T) {
 	for fleet, most := range map[int]int{1: 4, 40: 1} {
