--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,16 +33,16 @@
 // Ours, as ratios to what the terms say or what is seen.
 const (
 	beatShare                 = 0.2      // of the shortest expected time: the pulse of upkeep
-	lastingShare              = 1.0      // of the longest expected time: how long a state lasts before staff are told
+	lastingShare              = 1.0      // of the longest expected time: until staff are told of a state
 	memoryShare               = 8.0      // of the longest expected time: how long health evidence counts
 	paceGain                  = 0.15     // of an answer in its endpoint's pace
-	lateShare                 = 0.4      // of the expected time: a leg that takes longer finds its endpoint crowded;
+	lateShare                 = 0.4      // of the expected time: a leg that takes longer finds a crowd;
 	lateBest, lateLimit       = 1.8, 0.5 // or over so many times its product's best mean, up to this share
 	roomAtStart               = 2.0      // times the least
-	roomLeast                 = 4.0      // legs of all sidecars together that an endpoint's room leaves at the least
+	roomLeast                 = 4.0      // legs of all sidecars together that a room leaves at the least
 	roomOver                  = 1.1      // legs out over all rooms together
 	roomSmall                 = 0.4      // more of it, where a small fleet's rooms are whole legs
-	roomFirst                 = 0.1      // an endpoint's room grows by this much an answer until the first late one,
+	roomFirst                 = 0.1      // a room grows by this much an answer until the first late one,
 	roomRise                  = 0.02     // then by this part,
 	roomFall                  = 0.8      // and falls to this part at a late one, once for all legs then out
 	usualAtStart              = 0.25     // of the shortest expected time
@@ -60,9 +60,9 @@
 	shareSlack                = 1.1        // on a tenant's share
 	lateMost                  = 0.3        // share of late legs that is everybody's trouble
 	lateGain                  = 0.02       // of a leg in that share
-	awayOdds                  = 0.1        // draw of other zones: their price and way, but they must carry a zone that is full
+	awayOdds                  = 0.1        // draw of other zones: price and way, but they must take a spill
 	awayDrag                  = 3.0        // and their legs count so many times
-	listBackoff, listBackMost = 0.05, 0.25 // of ask-within: the first wait after a failed call, and the longest
+	listBackoff, listBackMost = 0.05, 0.25 // of ask-within: first and longest wait after a failure
 )
 
 // endpoint is all that is known of one server.
