--- a/logic/logic.go
+++ b/logic/logic.go
@@ -98,9 +98,9 @@
 }
 
 type leg struct {
-	to              *endpoint
-	sent            Millis
-	ended, neverRan bool
+	to                    *endpoint
+	sent                  Millis
+	ended, neverRan, late bool
 }
 
 type what int
@@ -179,6 +179,7 @@
 	crowding                                             float64   // fading share of beats with a queue
 	admitted                                             []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded, shared                           bool
+	admit, usualRank                                     float64
 }
 
 // New starts an instance that knows nothing but its terms.
@@ -190,9 +191,9 @@
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
-		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
+		admit: 1, open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
 	}
-	b.askWait, b.roomLeast = b.askFirst, math.Min(roomLeast/b.fleet, 1)
+	b.askWait, b.roomLeast = b.askFirst, 1
 	if t.MayAdvise {
 		b.advice = t.LongestAdvice
 	}
@@ -255,7 +256,7 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.seen = seen{weight: weightMost, pace: 1, tail: 2, room: math.Min(roomAtStart*b.roomLeast, 1)}
+	e.seen = seen{weight: weightMost, pace: 1, tail: 2, room: 1}
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 	if n := float64(len(b.ready)); n > 0 {
 		e.weight, e.pace, e.tail = 0, 0, 0
@@ -306,6 +307,14 @@
 		x.horizon = min(abandon, b.now+x.product.Expected)
 	}
 	b.open[id] = x
+	if b.usualRank == 0 {
+		b.usualRank = b.rank(x)
+	}
+	if math.Pow(math.Min(b.admit, 1), b.usualRank/b.rank(x)) < b.chance() {
+		b.giveUp(x)
+		return
+	}
+	b.usualRank += 0.02 * (b.rank(x) - b.usualRank)
 	b.route(x)
 }
 
@@ -765,10 +774,16 @@
 	e, expected := l.to, float64(x.product.Expected)
 	least := math.Max(lateShare*expected, lateBest*x.product.best)
 	late := o == Full || took > math.Min(least, lateLimit*expected)
-	if o != Satisfied && !late {
+	if o != Satisfied && !late || l.late {
 		return
 	}
 	b.late -= lateGain * b.late
+	if late {
+		l.late = true
+		b.admit = math.Max(b.admit*0.9, 0.02)
+	} else {
+		b.admit = math.Min(b.admit*1.025, 1.2)
+	}
 	switch {
 	case late:
 		b.late += lateGain
@@ -869,6 +884,13 @@
 		b.judge(e)
 	}
 	b.count()
+	for _, x := range b.places {
+		for n := range x.legs {
+			if l := &x.legs[n]; !l.ended && !l.late {
+				b.widen(x, l, Unclear, float64(b.now-l.sent))
+			}
+		}
+	}
 	b.report()
 	b.drain()
 }
