--- a/logic/logic.go
+++ b/logic/logic.go
@@ -100,7 +100,7 @@
 type leg struct {
 	to                    *endpoint
 	sent                  Millis
-	ended, neverRan, late bool
+	ended, neverRan, late, jam bool
 }
 
 type what int
@@ -774,15 +774,19 @@
 	e, expected := l.to, float64(x.product.Expected)
 	least := math.Max(lateShare*expected, lateBest*x.product.best)
 	late := o == Full || took > math.Min(least, lateLimit*expected)
+	jam := o == Full || took > math.Min(math.Max(3*x.product.best, 0.5*expected), 0.9*expected)
+	if jam && !l.jam {
+		l.jam = true
+		b.admit = math.Max(b.admit*0.9, 0.02)
+	} else if o == Satisfied && !l.jam {
+		b.admit = math.Min(b.admit*1.03, 1.2)
+	}
 	if o != Satisfied && !late || l.late {
 		return
 	}
 	b.late -= lateGain * b.late
 	if late {
 		l.late = true
-		b.admit = math.Max(b.admit*0.9, 0.02)
-	} else {
-		b.admit = math.Min(b.admit*1.025, 1.2)
 	}
 	switch {
 	case late:
@@ -886,7 +890,7 @@
 	b.count()
 	for _, x := range b.places {
 		for n := range x.legs {
-			if l := &x.legs[n]; !l.ended && !l.late {
+			if l := &x.legs[n]; !l.ended && !l.jam {
 				b.widen(x, l, Unclear, float64(b.now-l.sent))
 			}
 		}
