--- a/logic/logic.go
+++ b/logic/logic.go
@@ -98,8 +98,8 @@
 }
 
 type leg struct {
-	to                    *endpoint
-	sent                  Millis
+	to                         *endpoint
+	sent                       Millis
 	ended, neverRan, late, jam bool
 }
 
@@ -180,6 +180,7 @@
 	admitted                                             []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded, shared                           bool
 	admit, usualRank                                     float64
+	judgedAt                                             Millis
 }
 
 // New starts an instance that knows nothing but its terms.
@@ -193,7 +194,7 @@
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		admit: 1, open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
 	}
-	b.askWait, b.roomLeast = b.askFirst, 1
+	b.askWait, b.roomLeast = b.askFirst, math.Min(roomLeast/b.fleet, 1)
 	if t.MayAdvise {
 		b.advice = t.LongestAdvice
 	}
@@ -256,7 +257,7 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.seen = seen{weight: weightMost, pace: 1, tail: 2, room: 1}
+	e.seen = seen{weight: weightMost, pace: 1, tail: 2, room: math.Min(roomAtStart*b.roomLeast, 1)}
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 	if n := float64(len(b.ready)); n > 0 {
 		e.weight, e.pace, e.tail = 0, 0, 0
@@ -573,18 +574,18 @@
 	for _, e := range b.ready {
 		rooms += e.room * b.capacityNow(e) // a cold server's room is not there yet
 	}
-	if float64(b.out+1) > math.Max(rooms*(roomOver+roomSmall*b.roomLeast), 1) {
+	if float64(b.out+1) > math.Max(rooms*(roomOver+roomSmall*b.roomLeast), 3) {
 		return nil // a large fleet's many small rooms must not add up to a crowd
 	}
 	for try := range 2 {
 		total := 0.0
 		for i, e := range b.ready {
 			b.odds[i] = 0
-			if float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 1 && x.tried(e) ||
+			if e.legs > 0 && float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 1 && x.tried(e) ||
 				!b.trusts(x, e) {
 				continue
 			}
-			b.odds[i] = e.weight * e.size * b.capacityNow(e)
+			b.odds[i] = e.weight * e.size * b.capacityNow(e) * math.Min(e.room, 1)
 			if e.zone != b.zone {
 				b.odds[i] *= awayOdds
 			}
@@ -775,11 +776,11 @@
 	least := math.Max(lateShare*expected, lateBest*x.product.best)
 	late := o == Full || took > math.Min(least, lateLimit*expected)
 	jam := o == Full || took > math.Min(math.Max(3*x.product.best, 0.5*expected), 0.9*expected)
-	if jam && !l.jam {
-		l.jam = true
-		b.admit = math.Max(b.admit*0.9, 0.02)
+	if step := math.Min(float64(b.now-b.judgedAt)/500, 1); jam && !l.jam {
+		l.jam, b.judgedAt = true, b.now
+		b.admit = math.Max(b.admit*math.Exp(-0.3*step), 0.02)
 	} else if o == Satisfied && !l.jam {
-		b.admit = math.Min(b.admit*1.03, 1.2)
+		b.admit, b.judgedAt = math.Min(b.admit*math.Exp(0.075*step), 1.5), b.now
 	}
 	if o != Satisfied && !late || l.late {
 		return
