--- a/logic/logic.go
+++ b/logic/logic.go
@@ -87,6 +87,8 @@
 	good, bad       float64 // fading counts of outcomes
 	silent, doubted bool
 	tokens          float64 // cold budget, in exchanges of mean work
+	others          float64 // legs of others it held, as it last reported
+	heard           Millis  // when
 }
 
 // product is a Product with what decisions use.
@@ -111,6 +113,7 @@
 	waitOver
 	clientLeft
 	streamBegan
+	askOver
 )
 
 // result is what a step is handed.
@@ -134,6 +137,8 @@
 	horizon Millis // after it no answer is worth anything
 	legs    []leg
 	out     int
+	asked   [2]*endpoint
+	askedAt Millis
 }
 
 // Balancer is one instance.
@@ -150,7 +155,7 @@
 	overShare, fleet, coldFrom                          float64
 	coldRate                                            float64 // legs to a cold endpoint over its capacity
 	maxLegs                                             int
-	copies, cancels, mustAsk                            bool
+	copies, cancels, mustAsk, probes                    bool
 	advice                                              Millis // the longest that clients heed; 0 for none
 	askFirst, askMost, cold, fall, beat, slack, lasting Millis
 	roomLeast                                           float64
@@ -179,7 +184,7 @@
 	crowding                                             float64   // fading share of beats with a queue
 	admitted                                             []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded, shared                           bool
-	admit, usualRank                                     float64
+	admit, usualRank, others, hints                      float64
 	judgedAt                                             Millis
 }
 
@@ -188,7 +193,7 @@
 	b := &Balancer{
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
-		copies: t.SecondCopies, cancels: t.MayCancel, mustAsk: t.MustAsk,
+		copies: t.SecondCopies, probes: t.MayProbe, hints: 1, cancels: t.MayCancel, mustAsk: t.MustAsk,
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
@@ -316,9 +321,43 @@
 		return
 	}
 	b.usualRank += 0.02 * (b.rank(x) - b.usualRank)
+	if b.probes && len(b.queue) == 0 {
+		if one, two := b.pair(x); two != nil {
+			x.asked, x.askedAt, x.next = [2]*endpoint{one, two}, b.now, stepAsked
+			b.Probe(one.id)
+			b.Probe(two.id)
+			b.wakeFor(x, b.slack, askOver)
+			return
+		}
+	}
 	b.route(x)
 }
 
+// stepAsked awaits what two endpoints say of their load.
+func stepAsked(b *Balancer, x *exchange, r result) {
+	switch r.what {
+	case askOver:
+		one, two := x.asked[0], x.asked[1]
+		heardOne, heardTwo := one.heard >= x.askedAt, two.heard >= x.askedAt
+		if heardTwo && !heardOne || heardOne == heardTwo && b.load(two) < b.load(one) {
+			one = two
+		}
+		if !b.send(x, one) {
+			b.route(x)
+		}
+	case clientLeft:
+		b.finish(x)
+	}
+}
+
+// Reported takes an endpoint's own count of the legs it holds; it lags and may be missing.
+func (b *Balancer) Reported(id EndpointID, active float64) {
+	if e := b.known[id]; e != nil {
+		e.others, e.heard = math.Max(active-float64(e.legs), 0), b.now
+		b.others += 0.05 * (e.others/e.size - b.others)
+	}
+}
+
 func (b *Balancer) seat() *exchange {
 	if len(b.free) == 0 {
 		x := &exchange{place: len(b.places), legs: make([]leg, 0, b.maxLegs)}
@@ -568,14 +607,23 @@
 // ---- the pick
 
 // pick draws two endpoints by weight and takes the one with fewer legs, counted in answer time.
-// Doubtful ones are left out even when the others are full: they have room because they fail.
 func (b *Balancer) pick(x *exchange) *endpoint {
+	one, two := b.pair(x)
+	if two != nil && b.load(two) < b.load(one) {
+		return two
+	}
+	return one
+}
+
+// pair draws two endpoints by weight.
+// Doubtful ones are left out even when the others are full: they have room because they fail.
+func (b *Balancer) pair(x *exchange) (*endpoint, *endpoint) {
 	rooms := 0.0
 	for _, e := range b.ready {
 		rooms += e.room * b.capacityNow(e) // a cold server's room is not there yet
 	}
 	if float64(b.out+1) > math.Max(rooms*(roomOver+roomSmall*b.roomLeast), 3) {
-		return nil // a large fleet's many small rooms must not add up to a crowd
+		return nil, nil // a large fleet's many small rooms must not add up to a crowd
 	}
 	for try := range 2 {
 		total := 0.0
@@ -598,14 +646,11 @@
 		total -= b.odds[one]
 		b.odds[one] = 0
 		if total <= 1e-9 {
-			return b.ready[one]
-		}
-		if two := b.draw(total); b.load(b.ready[two]) < b.load(b.ready[one]) {
-			return b.ready[two]
+			return b.ready[one], nil
 		}
-		return b.ready[one]
+		return b.ready[one], b.ready[b.draw(total)]
 	}
-	return nil
+	return nil, nil
 }
 
 func (b *Balancer) draw(total float64) int {
@@ -623,7 +668,8 @@
 
 // load is the design's count of legs in flight, each as long as this endpoint takes.
 func (b *Balancer) load(e *endpoint) float64 {
-	l := float64(e.legs+1) * e.pace
+	crowd := (b.others + (e.others/e.size-b.others)*math.Exp(-float64(b.now-e.heard)/float64(2*b.lasting))) * b.hints
+	l := (float64(e.legs+1) + crowd) * e.pace
 	if e.zone != b.zone {
 		l *= awayDrag
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -75,6 +75,7 @@
 	OverShare                          float64   // value of what is beyond a share, as a part
 	MaxLegs                            int
 	SecondCopies, MayCancel, MayAdvise bool
+	MayProbe                           bool
 	LongestAdvice                      Millis
 	MustAsk                            bool // the list comes only when asked for
 	AskWithin                          Millis
@@ -91,6 +92,7 @@
 	Dismiss(x ExchangeID, comeBackAfter Millis)
 	Forfeit(x ExchangeID)
 	Wake(after Millis, t TimerID)
+	Probe(to EndpointID)
 	Watch()
 	Note(line string)
 }
