--- a/logic/logic.go
+++ b/logic/logic.go
@@ -70,6 +70,7 @@
 	id                    EndpointID
 	zone                  ZoneID
 	cell                  CellID
+	kind                  KindID
 	size                  float64 // as listed
 	readyAt               Millis
 	listed, running, told bool // told: staff know that it is doubtful
@@ -167,6 +168,7 @@
 	ready     []*endpoint
 	odds      []float64 // of the ready ones, in a pick
 	meanSize  float64
+	kinds     []float64 // each kind's mean pace
 	askWait   Millis
 
 	// Exchanges in hand.
@@ -243,7 +245,9 @@
 }
 
 // Listed takes one entry. Whatever is not Running gets nothing new from here on.
-func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
+func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, kind KindID, size float64,
+	readyAt Millis,
+) {
 	e := b.known[id]
 	if e == nil {
 		e = &endpoint{id: id}
@@ -253,7 +257,10 @@
 	} else if readyAt > e.readyAt {
 		b.renew(e) // a restart: what was known of the old process misleads about the new one
 	}
-	e.zone, e.cell, e.size, e.readyAt = zone, cell, size, max(readyAt, 0)
+	e.zone, e.cell, e.kind, e.size, e.readyAt = zone, cell, kind, size, max(readyAt, 0)
+	for int(kind) >= len(b.kinds) {
+		b.kinds = append(b.kinds, 1)
+	}
 	if size <= 0 {
 		e.size = 1
 	}
@@ -633,7 +640,7 @@
 				!b.trusts(x, e) {
 				continue
 			}
-			b.odds[i] = e.weight * e.size * b.capacityNow(e) * math.Min(e.room, 1)
+			b.odds[i] = e.weight * e.size * b.capacityNow(e) * math.Min(e.room, 1) / b.kinds[e.kind]
 			if e.zone != b.zone {
 				b.odds[i] *= awayOdds
 			}
@@ -807,6 +814,7 @@
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
 	r := took / math.Max(p.usual, 0.001)
 	e.pace += paceGain * (r - e.pace)
+	b.kinds[e.kind] += 0.03 * (r - b.kinds[e.kind])
 	if r > e.tail {
 		e.tail += tailStep * tailQuantile * e.tail
 	} else {
