--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,6 +52,7 @@
 	tailQuantile, tailStep    = 0.9, 0.08
 	doubtAt                   = 0.25 // share of bad outcomes that makes an endpoint doubtful
 	trustAt                   = 0.8  // drawn chance of success that gives it a trial
+	crowdMost                 = 3.0
 	coldMargin                = 0.4  // of the fall multiple that all sidecars together may use
 	retryEarn                 = 0.15 // further legs earned by an exchange that ends
 	retryMost                 = 12.0
@@ -140,6 +141,7 @@
 	out     int
 	asked   [2]*endpoint
 	askedAt Millis
+	asks    int
 }
 
 // Balancer is one instance.
@@ -328,16 +330,26 @@
 		return
 	}
 	b.usualRank += 0.02 * (b.rank(x) - b.usualRank)
-	if b.probes && len(b.queue) == 0 {
-		if one, two := b.pair(x); two != nil {
-			x.asked, x.askedAt, x.next = [2]*endpoint{one, two}, b.now, stepAsked
-			b.Probe(one.id)
-			b.Probe(two.id)
-			b.wakeFor(x, b.slack, askOver)
-			return
-		}
+	x.asks = 0
+	if !b.ask(x) {
+		b.route(x)
+	}
+}
+
+func (b *Balancer) ask(x *exchange) bool {
+	if !b.probes || len(b.queue) > 0 {
+		return false
+	}
+	one, two := b.pair(x)
+	if two == nil {
+		return false
 	}
-	b.route(x)
+	x.asked, x.askedAt, x.next = [2]*endpoint{one, two}, b.now, stepAsked
+	x.asks++
+	b.Probe(one.id)
+	b.Probe(two.id)
+	b.wakeFor(x, b.slack, askOver)
+	return true
 }
 
 // stepAsked awaits what two endpoints say of their load.
@@ -349,7 +361,10 @@
 		if heardTwo && !heardOne || heardOne == heardTwo && b.load(two) < b.load(one) {
 			one = two
 		}
-		if !b.send(x, one) {
+		if b.crowd(one) > crowdMost && x.asks < 2 && b.ask(x) {
+			return
+		}
+		if b.crowd(one) > crowdMost || !b.send(x, one) {
 			b.route(x)
 		}
 	case clientLeft:
@@ -361,7 +376,7 @@
 func (b *Balancer) Reported(id EndpointID, active float64) {
 	if e := b.known[id]; e != nil {
 		e.others, e.heard = math.Max(active-float64(e.legs), 0), b.now
-		b.others += 0.05 * (e.others/e.size - b.others)
+		b.others += 0.05 * (math.Min(e.others/e.size, crowdMost) - b.others)
 	}
 }
 
@@ -637,7 +652,7 @@
 		for i, e := range b.ready {
 			b.odds[i] = 0
 			if e.legs > 0 && float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 1 && x.tried(e) ||
-				!b.trusts(x, e) {
+				!b.trusts(x, e) || b.crowd(e) > crowdMost {
 				continue
 			}
 			b.odds[i] = e.weight * e.size * b.capacityNow(e) * math.Min(e.room, 1) / b.kinds[e.kind]
@@ -675,14 +690,21 @@
 
 // load is the design's count of legs in flight, each as long as this endpoint takes.
 func (b *Balancer) load(e *endpoint) float64 {
-	crowd := (b.others + (e.others/e.size-b.others)*math.Exp(-float64(b.now-e.heard)/float64(2*b.lasting))) * b.hints
-	l := (float64(e.legs+1) + crowd) * e.pace
+	l := (float64(e.legs+1) + b.crowd(e)) * e.pace
 	if e.zone != b.zone {
 		l *= awayDrag
 	}
 	return l
 }
 
+// crowd is what others hold at an endpoint for its size, as far as it was told lately.
+func (b *Balancer) crowd(e *endpoint) float64 {
+	if e.heard == 0 {
+		return b.others
+	}
+	return b.others + (e.others/e.size-b.others)*math.Exp(-float64(b.now-e.heard)/float64(2*b.lasting))
+}
+
 func (x *exchange) tried(e *endpoint) bool {
 	return slices.ContainsFunc(x.legs, func(l leg) bool { return l.to == e })
 }
