--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,7 +52,7 @@
 	tailQuantile, tailStep    = 0.9, 0.08
 	doubtAt                   = 0.25 // share of bad outcomes that makes an endpoint doubtful
 	trustAt                   = 0.8  // drawn chance of success that gives it a trial
-	crowdMost                 = 3.0
+	crowdMost                 = 100.0
 	coldMargin                = 0.4  // of the fall multiple that all sidecars together may use
 	retryEarn                 = 0.15 // further legs earned by an exchange that ends
 	retryMost                 = 12.0
@@ -376,7 +376,7 @@
 func (b *Balancer) Reported(id EndpointID, active float64) {
 	if e := b.known[id]; e != nil {
 		e.others, e.heard = math.Max(active-float64(e.legs), 0), b.now
-		b.others += 0.05 * (math.Min(e.others/e.size, crowdMost) - b.others)
+		b.others += 0.05 * (e.others/e.size - b.others)
 	}
 }
 
@@ -655,7 +655,7 @@
 				!b.trusts(x, e) || b.crowd(e) > crowdMost {
 				continue
 			}
-			b.odds[i] = e.weight * e.size * b.capacityNow(e) * math.Min(e.room, 1) / b.kinds[e.kind]
+			b.odds[i] = e.weight * e.size * b.capacityNow(e) / b.kinds[e.kind]
 			if e.zone != b.zone {
 				b.odds[i] *= awayOdds
 			}
