--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,8 +61,7 @@
 	shareSlack                = 1.1        // on a tenant's share
 	lateMost                  = 0.3        // share of late legs that is everybody's trouble
 	lateGain                  = 0.02       // of a leg in that share
-	awayOdds                  = 0.1        // draw of other zones: price and way, but they must take a spill
-	awayDrag                  = 3.0        // and their legs count so many times
+	awayFall                  = 300.0      // how the draw of other zones falls with the price of the way
 	listBackoff, listBackMost = 0.05, 0.25 // of ask-within: first and longest wait after a failure
 )
 
@@ -101,6 +100,9 @@
 	usualAt     Millis
 }
 
+// kind is what was learned of all endpoints of a kind together: one alone answers a light sidecar too seldom.
+type kind struct{ pace, answers float64 }
+
 type leg struct {
 	to                         *endpoint
 	sent                       Millis
@@ -170,7 +172,7 @@
 	ready     []*endpoint
 	odds      []float64 // of the ready ones, in a pick
 	meanSize  float64
-	kinds     []float64 // each kind's mean pace
+	kinds     []kind
 	askWait   Millis
 
 	// Exchanges in hand.
@@ -188,7 +190,7 @@
 	crowding                                             float64   // fading share of beats with a queue
 	admitted                                             []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded, shared                           bool
-	admit, usualRank, others, hints                      float64
+	awayOdds, admit, usualRank, others, hints            float64
 	judgedAt                                             Millis
 }
 
@@ -197,7 +199,7 @@
 	b := &Balancer{
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
-		copies: t.SecondCopies, probes: t.MayProbe, hints: 1, cancels: t.MayCancel, mustAsk: t.MustAsk,
+		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, probes: false && t.MayProbe, hints: 1, cancels: t.MayCancel, mustAsk: t.MustAsk,
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
@@ -247,7 +249,7 @@
 }
 
 // Listed takes one entry. Whatever is not Running gets nothing new from here on.
-func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, kind KindID, size float64,
+func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, k KindID, size float64,
 	readyAt Millis,
 ) {
 	e := b.known[id]
@@ -259,9 +261,9 @@
 	} else if readyAt > e.readyAt {
 		b.renew(e) // a restart: what was known of the old process misleads about the new one
 	}
-	e.zone, e.cell, e.kind, e.size, e.readyAt = zone, cell, kind, size, max(readyAt, 0)
-	for int(kind) >= len(b.kinds) {
-		b.kinds = append(b.kinds, 1)
+	e.zone, e.cell, e.kind, e.size, e.readyAt = zone, cell, k, size, max(readyAt, 0)
+	for int(k) >= len(b.kinds) {
+		b.kinds = append(b.kinds, kind{pace: 1})
 	}
 	if size <= 0 {
 		e.size = 1
@@ -655,9 +657,9 @@
 				!b.trusts(x, e) || b.crowd(e) > crowdMost {
 				continue
 			}
-			b.odds[i] = e.weight * e.size * b.capacityNow(e) / b.kinds[e.kind]
+			b.odds[i] = e.weight * e.size * b.capacityNow(e) / b.kinds[e.kind].pace
 			if e.zone != b.zone {
-				b.odds[i] *= awayOdds
+				b.odds[i] *= b.awayOdds
 			}
 			total += b.odds[i]
 		}
@@ -692,7 +694,7 @@
 func (b *Balancer) load(e *endpoint) float64 {
 	l := (float64(e.legs+1) + b.crowd(e)) * e.pace
 	if e.zone != b.zone {
-		l *= awayDrag
+		l /= math.Sqrt(b.awayOdds)
 	}
 	return l
 }
@@ -836,7 +838,9 @@
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
 	r := took / math.Max(p.usual, 0.001)
 	e.pace += paceGain * (r - e.pace)
-	b.kinds[e.kind] += 0.03 * (r - b.kinds[e.kind])
+	k := &b.kinds[e.kind]
+	k.answers++
+	k.pace += math.Max(1/(k.answers+1), 0.02) * (r - k.pace)
 	if r > e.tail {
 		e.tail += tailStep * tailQuantile * e.tail
 	} else {
