--- a/logic/logic.go
+++ b/logic/logic.go
@@ -855,12 +855,12 @@
 	e, expected := l.to, float64(x.product.Expected)
 	least := math.Max(lateShare*expected, lateBest*x.product.best)
 	late := o == Full || took > math.Min(least, lateLimit*expected)
-	jam := o == Full || took > math.Min(math.Max(3*x.product.best, 0.5*expected), 0.9*expected)
+	jam := o == Full || took > math.Min(math.Max(2.5*x.product.best, 0.4*expected), 0.9*expected)
 	if step := math.Min(float64(b.now-b.judgedAt)/500, 1); jam && !l.jam {
 		l.jam, b.judgedAt = true, b.now
-		b.admit = math.Max(b.admit*math.Exp(-0.3*step), 0.02)
+		b.admit = math.Max(b.admit*math.Exp(-0.8*step), 0.02)
 	} else if o == Satisfied && !l.jam {
-		b.admit, b.judgedAt = math.Min(b.admit*math.Exp(0.075*step), 1.5), b.now
+		b.admit, b.judgedAt = math.Min(b.admit*math.Exp(0.2*step), 1.5), b.now
 	}
 	if o != Satisfied && !late || l.late {
 		return
