--- a/logic/logic.go
+++ b/logic/logic.go
@@ -860,7 +860,7 @@
 		l.jam, b.judgedAt = true, b.now
 		b.admit = math.Max(b.admit*math.Exp(-0.8*step), 0.02)
 	} else if o == Satisfied && !l.jam {
-		b.admit, b.judgedAt = math.Min(b.admit*math.Exp(0.2*step), 1.5), b.now
+		b.admit, b.judgedAt = math.Min(b.admit*math.Exp(0.4*step), 1.5), b.now
 	}
 	if o != Satisfied && !late || l.late {
 		return
