--- a/logic/logic.go
+++ b/logic/logic.go
@@ -190,8 +190,8 @@
 	crowding                                             float64   // fading share of beats with a queue
 	admitted                                             []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded, shared                           bool
-	awayOdds, admit, usualRank, others, hints            float64
-	judgedAt                                             Millis
+	awayOdds, usualRank, others, hints                   float64
+	jam                                                  float64
 }
 
 // New starts an instance that knows nothing but its terms.
@@ -203,7 +203,7 @@
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
-		admit: 1, open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
+		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
 	}
 	b.askWait, b.roomLeast = b.askFirst, math.Min(roomLeast/b.fleet, 1)
 	if t.MayAdvise {
@@ -327,7 +327,8 @@
 	if b.usualRank == 0 {
 		b.usualRank = b.rank(x)
 	}
-	if math.Pow(math.Min(b.admit, 1), b.usualRank/b.rank(x)) < b.chance() {
+	shed := math.Min(math.Max((b.jam-0.25)/0.3, 0), 1)
+	if math.Pow(1-shed, b.usualRank/b.rank(x)) < b.chance() {
 		b.giveUp(x)
 		return
 	}
@@ -856,11 +857,11 @@
 	least := math.Max(lateShare*expected, lateBest*x.product.best)
 	late := o == Full || took > math.Min(least, lateLimit*expected)
 	jam := o == Full || took > math.Min(math.Max(2.5*x.product.best, 0.4*expected), 0.9*expected)
-	if step := math.Min(float64(b.now-b.judgedAt)/500, 1); jam && !l.jam {
-		l.jam, b.judgedAt = true, b.now
-		b.admit = math.Max(b.admit*math.Exp(-0.8*step), 0.02)
-	} else if o == Satisfied && !l.jam {
-		b.admit, b.judgedAt = math.Min(b.admit*math.Exp(0.4*step), 1.5), b.now
+	if gain := math.Min(math.Max(1/(b.rate*float64(b.lasting)+0.01), 0.02), 0.3); !l.jam && (jam || o == Satisfied) {
+		b.jam -= gain * b.jam
+		if l.jam = jam; jam {
+			b.jam += gain
+		}
 	}
 	if o != Satisfied && !late || l.late {
 		return
