--- a/logic/logic.go
+++ b/logic/logic.go
@@ -931,6 +931,7 @@
 	b.rate += (1 - math.Exp(-float64(b.beat)/2000)) * (b.sent/float64(b.beat) - b.rate)
 	b.sent = 0
 	b.admittedAll *= b.fade
+	b.jam -= float64(b.beat/(2*b.lasting)) * b.jam // a shut sidecar hears nothing: it must open by itself
 	for t := range b.admitted {
 		b.admitted[t] *= b.fade
 	}
