--- a/logic/logic.go
+++ b/logic/logic.go
@@ -191,6 +191,7 @@
 	admitted                                             []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded, shared                           bool
 	awayOdds, usualRank, others, hints                   float64
+	shutUntil                                            Millis
 	jam                                                  float64
 }
 
@@ -328,7 +329,10 @@
 		b.usualRank = b.rank(x)
 	}
 	shed := math.Min(math.Max((b.jam-0.25)/0.3, 0), 1)
-	if math.Pow(1-shed, b.usualRank/b.rank(x)) < b.chance() {
+	if b.now < b.shutUntil || math.Pow(1-shed, b.usualRank/b.rank(x)) < b.chance() {
+		if b.now >= b.shutUntil {
+			b.shutUntil = b.now + min(b.beat, Millis(0.25/(b.rate+0.001)))
+		}
 		b.giveUp(x)
 		return
 	}
@@ -931,7 +935,7 @@
 	b.rate += (1 - math.Exp(-float64(b.beat)/2000)) * (b.sent/float64(b.beat) - b.rate)
 	b.sent = 0
 	b.admittedAll *= b.fade
-	b.jam -= float64(b.beat/(2*b.lasting)) * b.jam // a shut sidecar hears nothing: it must open by itself
+	b.jam -= float64(b.beat/(4*b.lasting)) * b.jam // a shut sidecar hears nothing: it must open by itself
 	for t := range b.admitted {
 		b.admitted[t] *= b.fade
 	}
