--- a/logic/logic.go
+++ b/logic/logic.go
@@ -200,7 +200,7 @@
 	b := &Balancer{
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
-		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, probes: false && t.MayProbe, hints: 1, cancels: t.MayCancel, mustAsk: t.MustAsk,
+		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, probes: t.MayProbe, hints: 1, cancels: t.MayCancel, mustAsk: t.MustAsk,
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
@@ -364,14 +364,15 @@
 	switch r.what {
 	case askOver:
 		one, two := x.asked[0], x.asked[1]
-		heardOne, heardTwo := one.heard >= x.askedAt, two.heard >= x.askedAt
+		heardOne, heardTwo := one.heard > x.askedAt, two.heard > x.askedAt
+		if !heardOne && !heardTwo && b.now-x.askedAt < x.product.Expected*0.1 {
+			b.wakeFor(x, b.slack, askOver)
+			return
+		}
 		if heardTwo && !heardOne || heardOne == heardTwo && b.load(two) < b.load(one) {
 			one = two
 		}
-		if b.crowd(one) > crowdMost && x.asks < 2 && b.ask(x) {
-			return
-		}
-		if b.crowd(one) > crowdMost || !b.send(x, one) {
+		if !b.send(x, one) {
 			b.route(x)
 		}
 	case clientLeft:
