--- a/logic/logic.go
+++ b/logic/logic.go
@@ -200,7 +200,7 @@
 	b := &Balancer{
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
-		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, probes: t.MayProbe, hints: 1, cancels: t.MayCancel, mustAsk: t.MustAsk,
+		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, probes: false && t.MayProbe, hints: 0, cancels: t.MayCancel, mustAsk: t.MustAsk,
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
@@ -698,7 +698,7 @@
 
 // load is the design's count of legs in flight, each as long as this endpoint takes.
 func (b *Balancer) load(e *endpoint) float64 {
-	l := (float64(e.legs+1) + b.crowd(e)) * e.pace
+	l := (float64(e.legs+1) + b.hints*b.crowd(e)) * e.pace
 	if e.zone != b.zone {
 		l /= math.Sqrt(b.awayOdds)
 	}
