--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -131,10 +131,7 @@
 		i.members(string(v.GetStringBytes("scope")), h.lists[v.GetInt("ref")])
 	case "QUERY":
 		i.module.Arrive(logic.ExchangeID(v.GetStringBytes("ref")), i.product(v), i.tenant(v), millis(v, "deadline"))
-	case "CHECKED":
-		i.pressure(v)
 	case "REPLY":
-		i.pressure(v)
 		i.module.Ended(logic.ExchangeID(v.GetStringBytes("ref")), logic.LegNo(v.GetInt("try")),
 			outcomes[string(v.GetStringBytes("status"))], millis(v, "duration"), v.GetBool("closed"))
 	case "FIRST_BYTE":
@@ -146,13 +143,6 @@
 	}
 }
 
-// pressure hands over the endpoint's report, where one came along.
-func (i *instance) pressure(v *fastjson.Value) {
-	if active := v.Get("pressure", "active"); active != nil && active.Type() == fastjson.TypeNumber {
-		i.module.Reported(i.name(v.GetStringBytes("endpoint")), active.GetFloat64())
-	}
-}
-
 func millis(v *fastjson.Value, key string) logic.Millis { return logic.Millis(v.GetFloat64(key)) }
 
 var outcomes = map[string]logic.Outcome{
@@ -193,7 +183,6 @@
 		Zone: i.zone(env.GetStringBytes("locality")), OverShare: env.GetFloat64("overage-value"),
 		MaxLegs: allowed.GetInt("max-legs"), SecondCopies: allowed.GetBool("second-copies"),
 		MayCancel: allowed.GetBool("may-cancel"), MayAdvise: allowed.GetBool("retry-after"),
-		MayProbe:      allowed.GetBool("probes"),
 		LongestAdvice: millis(allowed, "max-retry-after"),
 		MustAsk:       string(env.GetStringBytes("registry-mode")) != "pushed",
 		AskWithin:     millis(rules, "ask-within"), Cold: millis(rules, "cold"), Fall: millis(rules, "fall"),
@@ -323,12 +312,6 @@
 
 func (i *instance) Forfeit(x logic.ExchangeID) { i.write(i.exchange("END_FAILED", x)) }
 
-func (i *instance) Probe(to logic.EndpointID) {
-	o := i.action("TOUCH")
-	o.Set("endpoint", i.arena.NewString(string(to)))
-	i.write(o)
-}
-
 func (i *instance) Wake(after logic.Millis, t logic.TimerID) {
 	o := i.action("WAKE_ME")
 	o.Set("from-now", i.number64(after))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,7 +52,6 @@
 	tailQuantile, tailStep    = 0.9, 0.08
 	doubtAt                   = 0.25 // share of bad outcomes that makes an endpoint doubtful
 	trustAt                   = 0.8  // drawn chance of success that gives it a trial
-	crowdMost                 = 100.0
 	coldMargin                = 0.4  // of the fall multiple that all sidecars together may use
 	retryEarn                 = 0.15 // further legs earned by an exchange that ends
 	retryMost                 = 12.0
@@ -88,8 +87,6 @@
 	good, bad       float64 // fading counts of outcomes
 	silent, doubted bool
 	tokens          float64 // cold budget, in exchanges of mean work
-	others          float64 // legs of others it held, as it last reported
-	heard           Millis  // when
 }
 
 // product is a Product with what decisions use.
@@ -117,7 +114,6 @@
 	waitOver
 	clientLeft
 	streamBegan
-	askOver
 )
 
 // result is what a step is handed.
@@ -141,9 +137,6 @@
 	horizon Millis // after it no answer is worth anything
 	legs    []leg
 	out     int
-	asked   [2]*endpoint
-	askedAt Millis
-	asks    int
 }
 
 // Balancer is one instance.
@@ -160,7 +153,7 @@
 	overShare, fleet, coldFrom                          float64
 	coldRate                                            float64 // legs to a cold endpoint over its capacity
 	maxLegs                                             int
-	copies, cancels, mustAsk, probes                    bool
+	copies, cancels, mustAsk                            bool
 	advice                                              Millis // the longest that clients heed; 0 for none
 	askFirst, askMost, cold, fall, beat, slack, lasting Millis
 	roomLeast                                           float64
@@ -190,7 +183,7 @@
 	crowding                                             float64   // fading share of beats with a queue
 	admitted                                             []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded, shared                           bool
-	awayOdds, usualRank, others, hints                   float64
+	awayOdds, usualRank                                  float64
 	shutUntil                                            Millis
 	jam                                                  float64
 }
@@ -200,7 +193,7 @@
 	b := &Balancer{
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
-		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, probes: false && t.MayProbe, hints: 0, cancels: t.MayCancel, mustAsk: t.MustAsk,
+		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel, mustAsk: t.MustAsk,
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
@@ -337,55 +330,7 @@
 		return
 	}
 	b.usualRank += 0.02 * (b.rank(x) - b.usualRank)
-	x.asks = 0
-	if !b.ask(x) {
-		b.route(x)
-	}
-}
-
-func (b *Balancer) ask(x *exchange) bool {
-	if !b.probes || len(b.queue) > 0 {
-		return false
-	}
-	one, two := b.pair(x)
-	if two == nil {
-		return false
-	}
-	x.asked, x.askedAt, x.next = [2]*endpoint{one, two}, b.now, stepAsked
-	x.asks++
-	b.Probe(one.id)
-	b.Probe(two.id)
-	b.wakeFor(x, b.slack, askOver)
-	return true
-}
-
-// stepAsked awaits what two endpoints say of their load.
-func stepAsked(b *Balancer, x *exchange, r result) {
-	switch r.what {
-	case askOver:
-		one, two := x.asked[0], x.asked[1]
-		heardOne, heardTwo := one.heard > x.askedAt, two.heard > x.askedAt
-		if !heardOne && !heardTwo && b.now-x.askedAt < x.product.Expected*0.1 {
-			b.wakeFor(x, b.slack, askOver)
-			return
-		}
-		if heardTwo && !heardOne || heardOne == heardTwo && b.load(two) < b.load(one) {
-			one = two
-		}
-		if !b.send(x, one) {
-			b.route(x)
-		}
-	case clientLeft:
-		b.finish(x)
-	}
-}
-
-// Reported takes an endpoint's own count of the legs it holds; it lags and may be missing.
-func (b *Balancer) Reported(id EndpointID, active float64) {
-	if e := b.known[id]; e != nil {
-		e.others, e.heard = math.Max(active-float64(e.legs), 0), b.now
-		b.others += 0.05 * (e.others/e.size - b.others)
-	}
+	b.route(x)
 }
 
 func (b *Balancer) seat() *exchange {
@@ -637,30 +582,21 @@
 // ---- the pick
 
 // pick draws two endpoints by weight and takes the one with fewer legs, counted in answer time.
-func (b *Balancer) pick(x *exchange) *endpoint {
-	one, two := b.pair(x)
-	if two != nil && b.load(two) < b.load(one) {
-		return two
-	}
-	return one
-}
-
-// pair draws two endpoints by weight.
 // Doubtful ones are left out even when the others are full: they have room because they fail.
-func (b *Balancer) pair(x *exchange) (*endpoint, *endpoint) {
+func (b *Balancer) pick(x *exchange) *endpoint {
 	rooms := 0.0
 	for _, e := range b.ready {
 		rooms += e.room * b.capacityNow(e) // a cold server's room is not there yet
 	}
 	if float64(b.out+1) > math.Max(rooms*(roomOver+roomSmall*b.roomLeast), 3) {
-		return nil, nil // a large fleet's many small rooms must not add up to a crowd
+		return nil // a large fleet's many small rooms must not add up to a crowd
 	}
 	for try := range 2 {
 		total := 0.0
 		for i, e := range b.ready {
 			b.odds[i] = 0
 			if e.legs > 0 && float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 1 && x.tried(e) ||
-				!b.trusts(x, e) || b.crowd(e) > crowdMost {
+				!b.trusts(x, e) {
 				continue
 			}
 			b.odds[i] = e.weight * e.size * b.capacityNow(e) / b.kinds[e.kind].pace
@@ -676,11 +612,14 @@
 		total -= b.odds[one]
 		b.odds[one] = 0
 		if total <= 1e-9 {
-			return b.ready[one], nil
+			return b.ready[one]
+		}
+		if two := b.draw(total); b.load(b.ready[two]) < b.load(b.ready[one]) {
+			return b.ready[two]
 		}
-		return b.ready[one], b.ready[b.draw(total)]
+		return b.ready[one]
 	}
-	return nil, nil
+	return nil
 }
 
 func (b *Balancer) draw(total float64) int {
@@ -698,21 +637,13 @@
 
 // load is the design's count of legs in flight, each as long as this endpoint takes.
 func (b *Balancer) load(e *endpoint) float64 {
-	l := (float64(e.legs+1) + b.hints*b.crowd(e)) * e.pace
+	l := float64(e.legs+1) * e.pace
 	if e.zone != b.zone {
 		l /= math.Sqrt(b.awayOdds)
 	}
 	return l
 }
 
-// crowd is what others hold at an endpoint for its size, as far as it was told lately.
-func (b *Balancer) crowd(e *endpoint) float64 {
-	if e.heard == 0 {
-		return b.others
-	}
-	return b.others + (e.others/e.size-b.others)*math.Exp(-float64(b.now-e.heard)/float64(2*b.lasting))
-}
-
 func (x *exchange) tried(e *endpoint) bool {
 	return slices.ContainsFunc(x.legs, func(l leg) bool { return l.to == e })
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -76,7 +76,6 @@
 	OverShare                          float64   // value of what is beyond a share, as a part
 	MaxLegs                            int
 	SecondCopies, MayCancel, MayAdvise bool
-	MayProbe                           bool
 	LongestAdvice                      Millis
 	MustAsk                            bool // the list comes only when asked for
 	AskWithin                          Millis
@@ -93,7 +92,6 @@
 	Dismiss(x ExchangeID, comeBackAfter Millis)
 	Forfeit(x ExchangeID)
 	Wake(after Millis, t TimerID)
-	Probe(to EndpointID)
 	Watch()
 	Note(line string)
 }
