--- a/logic/logic.go
+++ b/logic/logic.go
@@ -322,7 +322,7 @@
 	if b.usualRank == 0 {
 		b.usualRank = b.rank(x)
 	}
-	shed := math.Min(math.Max((b.jam+1.5*b.slowJam-0.4)/0.25, 0), 1)
+	shed := math.Min(math.Max((b.jam+b.slowJam-0.4)/0.25, 0), 1)
 	if b.now < b.shutUntil || math.Pow(1-shed, b.usualRank/b.rank(x)) < b.chance() {
 		if b.now >= b.shutUntil {
 			b.shutUntil = b.now + min(b.beat, Millis(0.25/(b.rate+0.001)))
@@ -793,7 +793,7 @@
 	e, expected := l.to, float64(x.product.Expected)
 	least := math.Max(lateShare*expected, lateBest*x.product.best)
 	late := o == Full || took > math.Min(least, lateLimit*expected)
-	jam := o == Full || took > math.Min(math.Max(2.5*x.product.best, 0.4*expected), 0.9*expected)
+	jam := o == Full || took > math.Min(math.Max(2.5*x.product.best, 0.5*expected), 0.9*expected)
 	if gain := math.Min(math.Max(1/(b.rate*float64(b.lasting)+0.01), 0.02), 0.3); !l.jam && (jam || o == Satisfied) {
 		b.jam -= gain * b.jam
 		b.slowJam -= gain / 6 * b.slowJam
