--- a/logic/logic.go
+++ b/logic/logic.go
@@ -206,7 +206,7 @@
 	}
 	shortest, longest := Millis(math.Inf(1)), Millis(0)
 	for _, p := range t.Products {
-		b.products = append(b.products, product{Product: p, usualAt: now})
+		b.products = append(b.products, product{Product: p, usualAt: now, usual: float64(p.Expected) * usualAtStart})
 		if p.Expected > 0 {
 			shortest, longest = min(shortest, p.Expected), max(longest, p.Expected)
 		}
@@ -768,13 +768,13 @@
 	}
 	p := x.product
 	p.answers++
-	gain := math.Max(1/p.answers, math.Min(float64(b.now-p.usualAt)/usualMemory, 1))
+	r := took / math.Max(p.usual, 0.001)
+	gain := math.Max(1/(p.answers+2), math.Min(float64(b.now-p.usualAt)/usualMemory, 1))
 	p.usual, p.usualAt = p.usual+gain*(took-p.usual), b.now
 	if p.answers <= copyFloor || p.usual < p.best {
 		p.best = p.usual
 	}
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
-	r := took / math.Max(p.usual, 0.001)
 	e.pace += paceGain * (r - e.pace)
 	k := &b.kinds[e.kind]
 	k.answers++
