--- a/logic/logic.go
+++ b/logic/logic.go
@@ -600,7 +600,7 @@
 				!b.trusts(x, e) {
 				continue
 			}
-			b.odds[i] = e.weight * e.size * b.capacityNow(e) / b.kinds[e.kind].pace
+			b.odds[i] = e.weight * e.size * b.capacityNow(e) / math.Pow(b.kinds[e.kind].pace, 2)
 			if e.zone != b.zone {
 				b.odds[i] *= b.awayOdds
 			}
