A light sidecar keeps to endpoints that answered it in time lately, and tries strange ones now and then

Cause: with an answer or two a second over a hundred servers a sidecar meets a given server once a minute, so a quarter of its legs go to servers that turned slow, whatever it learned.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,6 +52,7 @@
 	tailQuantile, tailStep    = 0.9, 0.08
 	doubtAt                   = 0.25 // share of bad outcomes that makes an endpoint doubtful
 	trustAt                   = 0.8  // drawn chance of success that gives it a trial
+	familiarFor               = Millis(16000)
 	coldMargin                = 0.4  // of the fall multiple that all sidecars together may use
 	retryEarn                 = 0.15 // further legs earned by an exchange that ends
 	retryMost                 = 12.0
@@ -87,6 +88,7 @@
 	good, bad       float64 // fading counts of outcomes
 	silent, doubted bool
 	tokens          float64 // cold budget, in exchanges of mean work
+	fine, off       Millis  // last answer in time; last one late or failed
 }
 
 // product is a Product with what decisions use.
@@ -185,7 +187,7 @@
 	mostDoubt, crowded, shared                           bool
 	awayOdds, usualRank                                  float64
 	shutUntil                                            Millis
-	slowJam                                              float64
+	slowJam, strange                                     float64
 	jam                                                  float64
 }
 
@@ -198,7 +200,7 @@
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
-		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
+		strange: 1, open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
 	}
 	b.askWait, b.roomLeast = b.askFirst, math.Min(roomLeast/b.fleet, 1)
 	if t.MayAdvise {
@@ -600,10 +602,16 @@
 				!b.trusts(x, e) {
 				continue
 			}
-			b.odds[i] = e.weight * e.size * b.capacityNow(e) / math.Pow(b.kinds[e.kind].pace, 2)
+			b.odds[i] = e.weight * e.size * b.capacityNow(e) / b.kinds[e.kind].pace
 			if e.zone != b.zone {
 				b.odds[i] *= b.awayOdds
 			}
+			if !b.familiar(e) {
+				b.odds[i] *= b.strange
+				if b.now-e.off < familiarFor {
+					b.odds[i] *= 0.1
+				}
+			}
 			total += b.odds[i]
 		}
 		if total <= 0 {
@@ -623,6 +631,9 @@
 	return nil
 }
 
+// familiar tells whether an endpoint's last answer known was in time and lately.
+func (b *Balancer) familiar(e *endpoint) bool { return e.fine > e.off && b.now-e.fine < familiarFor }
+
 func (b *Balancer) draw(total float64) int {
 	at, last := b.chance()*total, 0
 	for i, w := range b.odds {
@@ -798,8 +809,11 @@
 		b.jam -= gain * b.jam
 		b.slowJam -= gain / 6 * b.slowJam
 		if l.jam = jam; jam {
+			e.off = b.now
 			b.jam += gain
 			b.slowJam += gain / 6
+		} else {
+			e.fine = b.now
 		}
 	}
 	if o != Satisfied && !late || l.late {
@@ -855,13 +869,21 @@
 
 // count tells whether most endpoints are doubtful: then the trouble is shared and none is left out.
 func (b *Balancer) count() {
-	doubts := 0
+	doubts, known := 0, 0.0
 	for _, e := range b.ready {
+		if b.familiar(e) {
+			known++
+		}
 		if e.doubted || e.silent {
 			doubts++
 		}
 	}
 	b.mostDoubt = doubts*2 > len(b.ready)
+	share := 1 - 0.85*math.Min(known/math.Max(b.rate*4000, 3), 1)
+	b.strange = 1
+	if known > 0 {
+		b.strange = math.Min(share/(1-share)*known/(float64(len(b.ready))-known+0.01), 1)
+	}
 }
 
 // pulse is the regular upkeep.
