--- a/logic/logic.go
+++ b/logic/logic.go
@@ -609,7 +609,7 @@
 			if !b.familiar(e) {
 				b.odds[i] *= b.strange
 				if b.now-e.off < familiarFor {
-					b.odds[i] *= 0.1
+					b.odds[i] *= 0.02
 				}
 			}
 			total += b.odds[i]
@@ -879,7 +879,7 @@
 		}
 	}
 	b.mostDoubt = doubts*2 > len(b.ready)
-	share := 1 - 0.93*math.Min(known/math.Max(b.rate*2000, 3), 1)
+	share := 1 - 0.97*math.Min(known/math.Max(b.rate*500, 1), 1)
 	b.strange = 1
 	if known > 0 {
 		b.strange = math.Min(share/(1-share)*known/(float64(len(b.ready))-known+0.01), 1)
