--- a/logic/logic.go
+++ b/logic/logic.go
@@ -186,7 +186,7 @@
 	admitted                                             []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded, shared                           bool
 	awayOdds, usualRank                                  float64
-	restUntil, jamSince, shutUntil                       Millis
+	shutUntil                                            Millis
 	slowJam, strange                                     float64
 	jam                                                  float64
 }
@@ -324,8 +324,8 @@
 	if b.usualRank == 0 {
 		b.usualRank = b.rank(x)
 	}
-	shed := math.Min(math.Max((b.jam+b.slowJam-0.4)/0.25, 0), 1)
-	if b.now < b.restUntil || b.now < b.shutUntil || math.Pow(1-shed, b.usualRank/b.rank(x)) < b.chance() {
+	shed := math.Min(math.Max((b.jam+b.slowJam*(1+4*b.slowJam)-0.4)/0.25, 0), 1)
+	if b.now < b.shutUntil || math.Pow(1-shed, b.usualRank/b.rank(x)) < b.chance() {
 		if b.now >= b.shutUntil {
 			b.shutUntil = b.now + min(b.beat, Millis(0.25/(b.rate+0.001)))
 		}
@@ -892,12 +892,7 @@
 	b.rate += (1 - math.Exp(-float64(b.beat)/2000)) * (b.sent/float64(b.beat) - b.rate)
 	b.sent = 0
 	b.admittedAll *= b.fade
-	if b.jam+b.slowJam <= 0.65 {
-		b.jamSince = b.now
-	} else if b.now-b.jamSince > 2000 {
-		b.restUntil = b.now + Millis(4000+2000*b.chance())
-		b.jam, b.slowJam, b.jamSince = 0, 0, b.restUntil
-	}
+	b.slowJam -= float64(b.beat/(16*b.lasting)) * b.slowJam
 	b.jam -= float64(b.beat/(4*b.lasting)) * b.jam // a shut sidecar hears nothing: it must open by itself
 	for t := range b.admitted {
 		b.admitted[t] *= b.fade
