Admission acts the more, the smaller a part of a leg the rooms are; one share of late legs for copies and notes too

Cause: in a fleet of three to five sidecars rooms of whole legs do the work, admission on top dismissed without need.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,7 +60,6 @@
 	queueShare                = 0.12       // of the time left that may be spent in the queue
 	shareSlack                = 1.1        // on a tenant's share
 	lateMost                  = 0.3        // share of late legs that is everybody's trouble
-	lateGain                  = 0.02       // of a leg in that share
 	awayFall                  = 300.0      // how the draw of other zones falls with the price of the way
 	listBackoff, listBackMost = 0.05, 0.25 // of ask-within: first and longest wait after a failure
 )
@@ -324,7 +323,7 @@
 	if b.usualRank == 0 {
 		b.usualRank = b.rank(x)
 	}
-	shed := math.Min(math.Max((b.jam+b.slowJam*(1+4*b.slowJam)-0.4)/0.25, 0), 1)
+	shed := (1 - b.roomLeast*b.roomLeast) * math.Min(math.Max((b.jam+b.slowJam*(1+4*b.slowJam)-0.4)/0.25, 0), 1)
 	if b.now < b.shutUntil || math.Pow(1-shed, b.usualRank/b.rank(x)) < b.chance() {
 		if b.now >= b.shutUntil {
 			b.shutUntil = b.now + min(b.beat, Millis(0.25/(b.rate+0.001)))
@@ -527,7 +526,7 @@
 // copy sends the second leg of the design, unless all are slow: then copies only feed the trouble.
 func (b *Balancer) copy(x *exchange) {
 	if x.out != 1 || len(x.legs) > 1 || !b.mayRepeat(x) || b.ratio >= copyRatio ||
-		b.late > lateMost {
+		b.slowJam > lateMost {
 		return
 	}
 	if e := b.pick(x); e != nil && b.send(x, e) {
@@ -819,13 +818,11 @@
 	if o != Satisfied && !late || l.late {
 		return
 	}
-	b.late -= lateGain * b.late
 	if late {
 		l.late = true
 	}
 	switch {
 	case late:
-		b.late += lateGain
 		if l.sent >= e.braked {
 			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
 		}
@@ -859,11 +856,11 @@
 	}
 	if crowded := b.crowding > 0.5; crowded != b.crowded && math.Abs(b.crowding-0.5) > 0.3 {
 		b.crowded = crowded
-		b.Note(fmt.Sprintf("overload %t: %d legs out, %.0f%% late", crowded, b.out, 100*b.late))
+		b.Note(fmt.Sprintf("overload %t: %d legs out, %.0f%% late", crowded, b.out, 100*b.slowJam))
 	}
-	if shared := b.mostDoubt || b.late > lateMost; shared != b.shared && (shared || b.late < lateMost/2) {
+	if shared := b.mostDoubt || b.slowJam > lateMost; shared != b.shared && (shared || b.slowJam < lateMost/2) {
 		b.shared = shared
-		b.Note(fmt.Sprintf("trouble shared by most endpoints %t: %.0f%% of legs late", shared, 100*b.late))
+		b.Note(fmt.Sprintf("trouble shared by most endpoints %t: %.0f%% of legs late", shared, 100*b.slowJam))
 	}
 }
 
