--- a/logic/logic.go
+++ b/logic/logic.go
@@ -590,7 +590,7 @@
 	for _, e := range b.ready {
 		rooms += e.room * b.capacityNow(e) // a cold server's room is not there yet
 	}
-	if float64(b.out+1) > math.Max(rooms*(roomOver+roomSmall*b.roomLeast), 3) {
+	if float64(b.out+1) > math.Max(rooms*1.3, 3) {
 		return nil // a large fleet's many small rooms must not add up to a crowd
 	}
 	for try := range 2 {
@@ -827,7 +827,7 @@
 			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
 		}
 	case float64(e.legs+1) <= e.room/2:
-	case e.braked == 0:
+	case false:
 		e.room += roomFirst
 	default:
 		e.room += roomRise * math.Max(e.room, 1)
