--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,14 +40,11 @@
 	lateBest, lateLimit       = 1.8, 0.5 // or over so many times its product's best mean, up to this share
 	roomAtStart               = 2.0      // times the least
 	roomLeast                 = 4.0      // legs of all sidecars together that a room leaves at the least
-	roomOver                  = 1.1      // legs out over all rooms together
-	roomSmall                 = 0.4      // more of it, where a small fleet's rooms are whole legs
-	roomFirst                 = 0.1      // a room grows by this much an answer until the first late one,
-	roomRise                  = 0.02     // then by this part,
+	roomOver                  = 1.3       // legs out over all rooms together
+	roomRise                  = 0.02      // a room grows by this part an answer in time
 	roomFall                  = 0.8      // and falls to this part at a late one, once for all legs then out
 	usualAtStart              = 0.25     // of the shortest expected time
 	usualMemory               = 30000.0  // milliseconds over which a product's usual time is averaged
-	silenceAt                 = 6.0      // answers that should have come in a silence
 	slowTail                  = 2.5      // an endpoint's high quantile over its fellows' that is a fault
 	tailQuantile, tailStep    = 0.9, 0.08
 	doubtAt                   = 0.25 // share of bad outcomes that makes an endpoint doubtful
@@ -74,7 +71,7 @@
 	readyAt               Millis
 	listed, running, told bool // told: staff know that it is doubtful
 	legs                  int
-	since, changed        Millis // last answer, or when the first leg out was sent; last change of doubt
+	changed               Millis // last change of doubt
 	seen
 }
 
@@ -85,7 +82,7 @@
 	room            float64 // legs it may have
 	braked          Millis  // when room last fell; 0 before
 	good, bad       float64 // fading counts of outcomes
-	silent, doubted bool
+	doubted         bool
 	tokens          float64 // cold budget, in exchanges of mean work
 	fine, off       Millis  // last answer in time; last one late or failed
 }
@@ -376,9 +373,6 @@
 		b.admitted[x.tenant]++
 		b.admittedAll++
 	}
-	if e.legs == 0 {
-		e.since = b.now
-	}
 	// A leg gets all the time left: cutting it for a further leg wastes more work than it saves.
 	patience := max(x.horizon-b.now-b.slack, b.slack/2, 1)
 	x.legs = append(x.legs, leg{to: e, sent: b.now})
@@ -417,7 +411,7 @@
 // Began hands over a streamed answer's start, after which the leg is the client's own.
 func (b *Balancer) Began(id ExchangeID, n LegNo) {
 	if x := b.open[id]; x != nil && int(n) < len(x.legs) {
-		x.legs[n].to.since = b.now
+		x.legs[n].to.fine = b.now
 		b.cancelOthers(x, n)
 		x.next(b, x, result{what: streamBegan})
 	}
@@ -590,7 +584,7 @@
 	for _, e := range b.ready {
 		rooms += e.room * b.capacityNow(e) // a cold server's room is not there yet
 	}
-	if float64(b.out+1) > math.Max(rooms*1.3, 3) {
+	if float64(b.out+1) > math.Max(rooms*roomOver, 3) {
 		return nil // a large fleet's many small rooms must not add up to a crowd
 	}
 	for try := range 2 {
@@ -662,10 +656,10 @@
 // trusts draws from the posterior of a doubtful endpoint's chance of success, so that it is tried
 // now and then, with one replayable leg at a time, and found again when it recovers.
 func (b *Balancer) trusts(x *exchange, e *endpoint) bool {
-	if !e.doubted && !e.silent || b.mostDoubt {
+	if !e.doubted || b.mostDoubt {
 		return true
 	}
-	if e.silent || e.legs > 0 || x.product.Effect == SingleUse {
+	if e.legs > 0 || x.product.Effect == SingleUse {
 		return false
 	}
 	good, bad := b.gamma(1+int(math.Min(e.good, 8))), b.gamma(1+int(math.Min(e.bad+0.5, 8)))
@@ -742,7 +736,6 @@
 	switch o {
 	case Satisfied:
 		e.weight = math.Min(e.weight+weightRise, weightMost)
-		e.since, e.silent = b.now, false
 		b.learn(x, e, took)
 	case Errored, Reset, TimedOut, NoConnection:
 		e.weight = math.Max(e.weight*weightFall, weightLeast)
@@ -750,9 +743,6 @@
 		if o != TimedOut {
 			e.good /= 2 // a long good record must not hide that a server has just gone
 		}
-		if o == Errored {
-			e.since, e.silent = b.now, false
-		}
 	}
 	if o == TimedOut || o == Cancelled {
 		// An answer that did not come is at least as late as this: waiting must not look fast.
@@ -760,9 +750,6 @@
 			e.pace += paceGain * (r - e.pace)
 		}
 	}
-	if e.legs == 0 {
-		e.silent = false
-	}
 	b.judge(e)
 }
 
@@ -827,8 +814,6 @@
 			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
 		}
 	case float64(e.legs+1) <= e.room/2:
-	case false:
-		e.room += roomFirst
 	default:
 		e.room += roomRise * math.Max(e.room, 1)
 	}
@@ -871,7 +856,7 @@
 		if b.familiar(e) {
 			known++
 		}
-		if e.doubted || e.silent {
+		if e.doubted {
 			doubts++
 		}
 	}
@@ -909,12 +894,6 @@
 	for _, e := range b.ready {
 		e.good, e.bad = e.good*b.fade, e.bad*b.fade
 		typical := tails[len(tails)/2]
-		quiet := float64(b.now - e.since)
-		due := float64(e.legs) * quiet / (b.usual * math.Max(e.pace, 0.5)) // answers, in that time
-		if e.legs > 0 && !e.silent && quiet > float64(b.timer) && due > silenceAt {
-			e.silent = true // taking work and answering none: seen before any time-out runs out
-			e.bad += 2
-		}
 		if e.tail > slowTail*typical {
 			e.bad = math.Max(e.bad, 1+doubtAt*2*e.good)
 		}
