--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,25 +38,38 @@
 	paceGain                  = 0.15     // of an answer in its endpoint's pace
 	lateShare                 = 0.4      // of the expected time: a leg that takes longer finds a crowd;
 	lateBest, lateLimit       = 1.8, 0.5 // or over so many times its product's best mean, up to this share
-	roomAtStart               = 2.0      // times the least
-	roomLeast                 = 4.0      // legs of all sidecars together that a room leaves at the least
-	roomOver                  = 1.3       // legs out over all rooms together
-	roomRise                  = 0.02      // a room grows by this part an answer in time
-	roomFall                  = 0.8      // and falls to this part at a late one, once for all legs then out
-	usualAtStart              = 0.25     // of the shortest expected time
-	usualMemory               = 30000.0  // milliseconds over which a product's usual time is averaged
-	slowTail                  = 2.5      // an endpoint's high quantile over its fellows' that is a fault
+	lostBest                  = 2.5      // times its product's best mean, but between
+	lostLeast, lostMost       = 0.5, 0.9 // of the expected time: a leg that takes longer finds too much of it
+	lostGain, lostGainLeast   = 0.3, 0.02
+	lostLong                  = 1.0 / 6    // of that gain, for the longer share of lost legs;
+	lostFade, lostLongFade    = 4.0, 16.0  // longest expected times in which both fade by themselves
+	shedAt, shedSpan          = 0.4, 0.25  // lost legs with which dismissals begin, and until all is dismissed
+	shedWeight                = 4.0        // of the longer share, the more the larger it is
+	shutShare                 = 0.25       // of the time between two legs that a dismissal shuts the door
+	rankGain                  = 0.02       // of an exchange in the mean rank
+	familiarShare             = 16.0       // longest expected times that an answer in time is remembered
+	familiarSpan              = 0.5        // of the longest expected time: its legs all find familiar ones
+	strangeShare, badShare    = 0.03, 0.02 // legs to strange endpoints; draw of those lately late among them
+	kindGain                  = 0.02       // of an answer in its kind's pace
+	roomAtStart               = 2.0        // times the least
+	roomLeast                 = 4.0        // legs of all sidecars together that a room leaves at the least
+	roomOver                  = 1.3        // legs out over all rooms together
+	roomRise                  = 0.02       // a room grows by this part an answer in time
+	roomFall                  = 0.8        // and falls to this part at a late one, once for all legs then out
+	usualAtStart              = 0.25       // of the shortest expected time
+	usualMemory               = 30000.0    // milliseconds over which a product's usual time is averaged
+	slowTail                  = 2.5        // an endpoint's high quantile over its fellows' that is a fault
 	tailQuantile, tailStep    = 0.9, 0.08
+	tailAtStart, typicalStep  = 2.0, 0.002
 	doubtAt                   = 0.25 // share of bad outcomes that makes an endpoint doubtful
 	trustAt                   = 0.8  // drawn chance of success that gives it a trial
-	familiarFor               = Millis(16000)
 	coldMargin                = 0.4  // of the fall multiple that all sidecars together may use
 	retryEarn                 = 0.15 // further legs earned by an exchange that ends
 	retryMost                 = 12.0
 	rememberShare             = 0.8        // of the time a group remembers within which a repeat is sent
 	queueShare                = 0.12       // of the time left that may be spent in the queue
 	shareSlack                = 1.1        // on a tenant's share
-	lateMost                  = 0.3        // share of late legs that is everybody's trouble
+	lostCopies                = 0.3        // share of lost legs that is everybody's trouble
 	awayFall                  = 300.0      // how the draw of other zones falls with the price of the way
 	listBackoff, listBackMost = 0.05, 0.25 // of ask-within: first and longest wait after a failure
 )
@@ -77,14 +90,14 @@
 
 // seen is what was learned of an endpoint's process.
 type seen struct {
-	weight          float64
-	pace, tail      float64 // answer time over the product's usual: mean and high quantile
-	room            float64 // legs it may have
-	braked          Millis  // when room last fell; 0 before
-	good, bad       float64 // fading counts of outcomes
-	doubted         bool
-	tokens          float64 // cold budget, in exchanges of mean work
-	fine, off       Millis  // last answer in time; last one late or failed
+	weight     float64
+	pace, tail float64 // answer time over the product's usual: mean and high quantile
+	room       float64 // legs it may have
+	braked     Millis  // when room last fell; 0 before
+	good, bad  float64 // fading counts of outcomes
+	doubted    bool
+	tokens     float64 // cold budget, in exchanges of mean work
+	fine, lost Millis  // last answer in time, last leg that was lost
 }
 
 // product is a Product with what decisions use.
@@ -99,9 +112,9 @@
 type kind struct{ pace, answers float64 }
 
 type leg struct {
-	to                         *endpoint
-	sent                       Millis
-	ended, neverRan, late, jam bool
+	to                          *endpoint
+	sent                        Millis
+	ended, neverRan, late, lost bool
 }
 
 type what int
@@ -148,7 +161,7 @@
 	products                                            []product
 	unknown                                             product
 	tenants                                             []float64 // share of each
-	overShare, fleet, coldFrom                          float64
+	overShare, fleet, coldFrom, awayOdds                float64
 	coldRate                                            float64 // legs to a cold endpoint over its capacity
 	maxLegs                                             int
 	copies, cancels, mustAsk                            bool
@@ -172,19 +185,18 @@
 	out                 int // legs
 
 	// What was learned.
-	recent, sorted                                       [recentLength]float64 // latencies of satisfied legs
-	samples, timerAt                                     int
-	timer, ratioAt                                       Millis
-	window                                               [windowParts]struct{ copies, ended float64 }
-	part                                                 int
-	ratio, retries, usual, late, sent, rate, admittedAll float64
-	crowding                                             float64   // fading share of beats with a queue
-	admitted                                             []float64 // fading count of each tenant's exchanges
-	mostDoubt, crowded, shared                           bool
-	awayOdds, usualRank                                  float64
-	shutUntil                                            Millis
-	slowJam, strange                                     float64
-	jam                                                  float64
+	recent, sorted                                 [recentLength]float64 // latencies of satisfied legs
+	samples, timerAt                               int
+	timer, ratioAt                                 Millis
+	window                                         [windowParts]struct{ copies, ended float64 }
+	part                                           int
+	ratio, retries, usual, sent, rate, admittedAll float64
+	lost, lostLong                                 float64 // shares of lost legs, of late and for longer
+	shutUntil                                      Millis
+	usualRank, typicalTail, strange                float64   // strange: draw of an endpoint that is not familiar
+	crowding                                       float64   // fading share of beats in which exchanges waited or were shed
+	admitted                                       []float64 // fading count of each tenant's exchanges
+	mostDoubt, crowded                             bool
 }
 
 // New starts an instance that knows nothing but its terms.
@@ -192,11 +204,12 @@
 	b := &Balancer{
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
-		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel, mustAsk: t.MustAsk,
+		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel,
+		mustAsk: t.MustAsk, strange: 1, typicalTail: tailAtStart,
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
-		strange: 1, open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
+		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
 	}
 	b.askWait, b.roomLeast = b.askFirst, math.Min(roomLeast/b.fleet, 1)
 	if t.MayAdvise {
@@ -204,7 +217,8 @@
 	}
 	shortest, longest := Millis(math.Inf(1)), Millis(0)
 	for _, p := range t.Products {
-		b.products = append(b.products, product{Product: p, usualAt: now, usual: float64(p.Expected) * usualAtStart})
+		b.products = append(b.products,
+			product{Product: p, usualAt: now, usual: float64(p.Expected) * usualAtStart})
 		if p.Expected > 0 {
 			shortest, longest = min(shortest, p.Expected), max(longest, p.Expected)
 		}
@@ -266,7 +280,7 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.seen = seen{weight: weightMost, pace: 1, tail: 2, room: math.Min(roomAtStart*b.roomLeast, 1)}
+	e.seen = seen{weight: weightMost, pace: 1, tail: tailAtStart, room: math.Min(roomAtStart*b.roomLeast, 1)}
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 	if n := float64(len(b.ready)); n > 0 {
 		e.weight, e.pace, e.tail = 0, 0, 0
@@ -317,19 +331,36 @@
 		x.horizon = min(abandon, b.now+x.product.Expected)
 	}
 	b.open[id] = x
+	if b.admits(x) {
+		b.route(x)
+	} else {
+		b.giveUp(x)
+	}
+}
+
+// admits sheds what the endpoints cannot take, by the share of legs that were lost: where a hundred light
+// sidecars share the endpoints, legs out bound nothing. The less worthy goes first. A client that asks
+// again at once finds the door still shut: four or five draws would let nearly all of it through.
+func (b *Balancer) admits(x *exchange) bool {
+	rank := b.rank(x)
 	if b.usualRank == 0 {
-		b.usualRank = b.rank(x)
+		b.usualRank = rank
 	}
-	shed := (1 - b.roomLeast*b.roomLeast) * math.Min(math.Max((b.jam+b.slowJam*(1+4*b.slowJam)-0.4)/0.25, 0), 1)
-	if b.now < b.shutUntil || math.Pow(1-shed, b.usualRank/b.rank(x)) < b.chance() {
-		if b.now >= b.shutUntil {
-			b.shutUntil = b.now + min(b.beat, Millis(0.25/(b.rate+0.001)))
-		}
-		b.giveUp(x)
-		return
+	b.usualRank += rankGain * (rank - b.usualRank)
+	if b.now < b.shutUntil {
+		return false
+	}
+	if b.chance() < math.Pow(1-b.overload(), b.usualRank/rank) {
+		return true
 	}
-	b.usualRank += 0.02 * (b.rank(x) - b.usualRank)
-	b.route(x)
+	b.shutUntil = b.now + min(b.beat, Millis(shutShare/math.Max(b.rate, 1e-6)))
+	return false
+}
+
+// overload is the part to shed. Rooms of whole legs hold a small fleet back without it.
+func (b *Balancer) overload() float64 {
+	lost := b.lost + b.lostLong*(1+shedWeight*b.lostLong)
+	return (1 - b.roomLeast*b.roomLeast) * math.Min(math.Max((lost-shedAt)/shedSpan, 0), 1)
 }
 
 func (b *Balancer) seat() *exchange {
@@ -520,7 +551,7 @@
 // copy sends the second leg of the design, unless all are slow: then copies only feed the trouble.
 func (b *Balancer) copy(x *exchange) {
 	if x.out != 1 || len(x.legs) > 1 || !b.mayRepeat(x) || b.ratio >= copyRatio ||
-		b.slowJam > lateMost {
+		b.lostLong > lostCopies {
 		return
 	}
 	if e := b.pick(x); e != nil && b.send(x, e) {
@@ -601,8 +632,8 @@
 			}
 			if !b.familiar(e) {
 				b.odds[i] *= b.strange
-				if b.now-e.off < familiarFor {
-					b.odds[i] *= 0.02
+				if b.now-e.lost < familiarShare*b.lasting {
+					b.odds[i] *= badShare
 				}
 			}
 			total += b.odds[i]
@@ -624,8 +655,11 @@
 	return nil
 }
 
-// familiar tells whether an endpoint's last answer known was in time and lately.
-func (b *Balancer) familiar(e *endpoint) bool { return e.fine > e.off && b.now-e.fine < familiarFor }
+// familiar tells whether an endpoint's last leg was answered in time, and lately: a light sidecar meets one of a
+// hundred endpoints once a minute, too seldom to know which are slow, so it keeps to a few that serve it well.
+func (b *Balancer) familiar(e *endpoint) bool {
+	return e.fine > e.lost && b.now-e.fine < familiarShare*b.lasting
+}
 
 func (b *Balancer) draw(total float64) int {
 	at, last := b.chance()*total, 0
@@ -732,7 +766,7 @@
 // account books a leg's outcome with its endpoint.
 func (b *Balancer) account(x *exchange, l *leg, o Outcome, took float64) {
 	e := l.to
-	b.widen(x, l, o, took)
+	b.weigh(x, l, o, took)
 	switch o {
 	case Satisfied:
 		e.weight = math.Min(e.weight+weightRise, weightMost)
@@ -775,7 +809,7 @@
 	e.pace += paceGain * (r - e.pace)
 	k := &b.kinds[e.kind]
 	k.answers++
-	k.pace += math.Max(1/(k.answers+1), 0.02) * (r - k.pace)
+	k.pace += math.Max(1/(k.answers+1), kindGain) * (r - k.pace)
 	if r > e.tail {
 		e.tail += tailStep * tailQuantile * e.tail
 	} else {
@@ -784,37 +818,33 @@
 	e.good++
 }
 
-// widen lets an endpoint's room follow whether its legs come back well inside the expected time, so
-// that all sidecars together keep its queue short without knowing of each other.
-func (b *Balancer) widen(x *exchange, l *leg, o Outcome, took float64) {
-	e, expected := l.to, float64(x.product.Expected)
-	least := math.Max(lateShare*expected, lateBest*x.product.best)
-	late := o == Full || took > math.Min(least, lateLimit*expected)
-	jam := o == Full || took > math.Min(math.Max(2.5*x.product.best, 0.5*expected), 0.9*expected)
-	if gain := math.Min(math.Max(1/(b.rate*float64(b.lasting)+0.01), 0.02), 0.3); !l.jam && (jam || o == Satisfied) {
-		b.jam -= gain * b.jam
-		b.slowJam -= gain / 6 * b.slowJam
-		if l.jam = jam; jam {
-			e.off = b.now
-			b.jam += gain
-			b.slowJam += gain / 6
+// weigh books how long a leg took or is out already: silence counts before any time-out runs out.
+func (b *Balancer) weigh(x *exchange, l *leg, o Outcome, took float64) {
+	expected, best := float64(x.product.Expected), x.product.best
+	lost := o == Full || took > math.Min(math.Max(lostBest*best, lostLeast*expected), lostMost*expected)
+	if !l.lost && (lost || o == Satisfied) {
+		gain := math.Min(math.Max(1/(b.rate*float64(b.lasting)+0.01), lostGainLeast), lostGain)
+		b.lost, b.lostLong = b.lost*(1-gain), b.lostLong*(1-gain*lostLong)
+		if l.lost = lost; lost {
+			b.lost, b.lostLong, l.to.lost = b.lost+gain, b.lostLong+gain*lostLong, b.now
 		} else {
-			e.fine = b.now
+			l.to.fine = b.now
 		}
 	}
-	if o != Satisfied && !late || l.late {
-		return
-	}
-	if late {
-		l.late = true
+	late := o == Full || took > math.Min(math.Max(lateShare*expected, lateBest*best), lateLimit*expected)
+	if !l.late && (late || o == Satisfied) {
+		l.late = late
+		b.widen(l, late)
 	}
-	switch {
-	case late:
-		if l.sent >= e.braked {
-			e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
-		}
-	case float64(e.legs+1) <= e.room/2:
-	default:
+}
+
+// widen lets an endpoint's room follow whether its legs come back well inside the expected time, so
+// that all sidecars together keep its queue short without knowing of each other.
+func (b *Balancer) widen(l *leg, late bool) {
+	switch e := l.to; {
+	case late && l.sent >= e.braked:
+		e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
+	case !late && float64(e.legs+1) > e.room/2:
 		e.room += roomRise * math.Max(e.room, 1)
 	}
 }
@@ -836,35 +866,32 @@
 		}
 	}
 	b.crowding -= float64(b.beat/b.lasting) * b.crowding
-	if len(b.queue) > 0 {
+	if len(b.queue) > 0 || b.overload() > b.chance() {
 		b.crowding += float64(b.beat / b.lasting)
 	}
 	if crowded := b.crowding > 0.5; crowded != b.crowded && math.Abs(b.crowding-0.5) > 0.3 {
 		b.crowded = crowded
-		b.Note(fmt.Sprintf("overload %t: %d legs out, %.0f%% late", crowded, b.out, 100*b.slowJam))
-	}
-	if shared := b.mostDoubt || b.slowJam > lateMost; shared != b.shared && (shared || b.slowJam < lateMost/2) {
-		b.shared = shared
-		b.Note(fmt.Sprintf("trouble shared by most endpoints %t: %.0f%% of legs late", shared, 100*b.slowJam))
+		b.Note(fmt.Sprintf("overload %t: %d legs out, %.0f%% late", crowded, b.out, 100*b.lostLong))
 	}
 }
 
-// count tells whether most endpoints are doubtful: then the trouble is shared and none is left out.
+// count tells whether most endpoints are doubtful: then the trouble is shared and none is left out. It also
+// sets the draw of strange endpoints, by how many of the familiar ones that our legs want are there.
 func (b *Balancer) count() {
-	doubts, known := 0, 0.0
+	doubts, familiar := 0, 0.0
 	for _, e := range b.ready {
 		if b.familiar(e) {
-			known++
+			familiar++
 		}
 		if e.doubted {
 			doubts++
 		}
 	}
-	b.mostDoubt = doubts*2 > len(b.ready)
-	share := 1 - 0.97*math.Min(known/math.Max(b.rate*500, 1), 1)
-	b.strange = 1
-	if known > 0 {
-		b.strange = math.Min(share/(1-share)*known/(float64(len(b.ready))-known+0.01), 1)
+	b.mostDoubt, b.strange = doubts*2 > len(b.ready), 1
+	wanted := math.Max(b.rate*float64(b.lasting)*familiarSpan, 1)
+	share := 1 - (1-strangeShare)*math.Min(familiar/wanted, 1)
+	if strange := float64(len(b.ready)) - familiar; share < 1 && strange > 0 {
+		b.strange = math.Min(share/(1-share)*familiar/strange, 1)
 	}
 }
 
@@ -874,8 +901,8 @@
 	b.rate += (1 - math.Exp(-float64(b.beat)/2000)) * (b.sent/float64(b.beat) - b.rate)
 	b.sent = 0
 	b.admittedAll *= b.fade
-	b.slowJam -= float64(b.beat/(16*b.lasting)) * b.slowJam
-	b.jam -= float64(b.beat/(4*b.lasting)) * b.jam // a shut sidecar hears nothing: it must open by itself
+	b.lost -= b.lost * float64(b.beat/b.lasting) / lostFade // a shut sidecar hears nothing: it opens by itself
+	b.lostLong -= b.lostLong * float64(b.beat/b.lasting) / lostLongFade
 	for t := range b.admitted {
 		b.admitted[t] *= b.fade
 	}
@@ -886,18 +913,17 @@
 	if b.now-b.ratioAt >= copyRefresh {
 		b.ratioAt, b.ratio = b.now, b.copyRatioNow()
 	}
-	tails := b.sorted[:0]
-	for _, e := range b.ready {
-		tails = append(tails, e.tail)
-	}
-	slices.Sort(tails)
 	for _, e := range b.ready {
 		e.good, e.bad = e.good*b.fade, e.bad*b.fade
-		typical := tails[len(tails)/2]
-		if e.tail > slowTail*typical {
+		if e.tail > b.typicalTail {
+			b.typicalTail *= 1 + typicalStep // steps of one size up and down end at the median
+		} else {
+			b.typicalTail /= 1 + typicalStep
+		}
+		if e.tail > slowTail*b.typicalTail {
 			e.bad = math.Max(e.bad, 1+doubtAt*2*e.good)
 		}
-		e.tail += (1 - b.fade) * (typical - e.tail) // what is not asked is not condemned for ever
+		e.tail += (1 - b.fade) * (b.typicalTail - e.tail) // what is not asked is not condemned for ever
 		if e.legs == 0 {
 			e.pace += (1 - b.fade) * (1 - e.pace) * 0.5
 		}
@@ -911,8 +937,8 @@
 	b.count()
 	for _, x := range b.places {
 		for n := range x.legs {
-			if l := &x.legs[n]; !l.ended && !l.jam {
-				b.widen(x, l, Unclear, float64(b.now-l.sent))
+			if l := &x.legs[n]; !l.ended && !l.lost {
+				b.weigh(x, l, Unclear, float64(b.now-l.sent))
 			}
 		}
 	}
