--- a/logic/logic.go
+++ b/logic/logic.go
@@ -676,7 +676,7 @@
 
 // load is the design's count of legs in flight, each as long as this endpoint takes.
 func (b *Balancer) load(e *endpoint) float64 {
-	l := float64(e.legs+1) * e.pace
+	l := float64(e.legs + 1)
 	if e.zone != b.zone {
 		l /= math.Sqrt(b.awayOdds)
 	}
