--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -167,14 +167,13 @@
 	tenants  map[string]logic.TenantID
 	zones    map[string]logic.ZoneID
 	names    map[string]logic.EndpointID
-	kinds    map[string]logic.KindID
 }
 
 func start(number int, v *fastjson.Value, out *bufio.Writer, now logic.Millis) *instance {
 	i := &instance{
 		number: number, out: out,
 		products: map[string]logic.ProductID{}, tenants: map[string]logic.TenantID{},
-		zones: map[string]logic.ZoneID{}, names: map[string]logic.EndpointID{}, kinds: map[string]logic.KindID{},
+		zones: map[string]logic.ZoneID{}, names: map[string]logic.EndpointID{},
 	}
 	env := v.Get("env")
 	allowed, rules := env.Get("allowed"), env.Get("guarantees")
@@ -218,7 +217,7 @@
 	}
 	for _, e := range list.entries {
 		i.module.Listed(i.name(e.GetStringBytes("endpoint")), healths[string(e.GetStringBytes("health"))],
-			i.zone(e.GetStringBytes("locality")), logic.CellID(e.GetInt("bay")), i.kind(e.GetStringBytes("type")), e.GetFloat64("units"),
+			i.zone(e.GetStringBytes("locality")), logic.CellID(e.GetInt("bay")), e.GetFloat64("units"),
 			millis(e, "ready-at"))
 	}
 	i.module.ListEnds(scope == "disk")
@@ -247,15 +246,6 @@
 	return z
 }
 
-func (i *instance) kind(name []byte) logic.KindID {
-	k, known := i.kinds[string(name)]
-	if !known {
-		k = logic.KindID(len(i.kinds))
-		i.kinds[string(name)] = k
-	}
-	return k
-}
-
 func (i *instance) name(text []byte) logic.EndpointID {
 	e, known := i.names[string(text)]
 	if !known {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,6 @@
 	beatShare                 = 0.2      // of the shortest expected time: the pulse of upkeep
 	lastingShare              = 1.0      // of the longest expected time: until staff are told of a state
 	memoryShare               = 8.0      // of the longest expected time: how long health evidence counts
-	paceGain                  = 0.15     // of an answer in its endpoint's pace
 	lateShare                 = 0.4      // of the expected time: a leg that takes longer finds a crowd;
 	lateBest, lateLimit       = 1.8, 0.5 // or over so many times its product's best mean, up to this share
 	lostBest                  = 2.5      // times its product's best mean, but between
@@ -50,7 +49,6 @@
 	familiarShare             = 16.0       // longest expected times that an answer in time is remembered
 	familiarSpan              = 0.5        // of the longest expected time: its legs all find familiar ones
 	strangeShare, badShare    = 0.03, 0.02 // legs to strange endpoints; draw of those lately late among them
-	kindGain                  = 0.02       // of an answer in its kind's pace
 	roomAtStart               = 2.0        // times the least
 	roomLeast                 = 4.0        // legs of all sidecars together that a room leaves at the least
 	roomOver                  = 1.3        // legs out over all rooms together
@@ -79,7 +77,6 @@
 	id                    EndpointID
 	zone                  ZoneID
 	cell                  CellID
-	kind                  KindID
 	size                  float64 // as listed
 	readyAt               Millis
 	listed, running, told bool // told: staff know that it is doubtful
@@ -91,7 +88,7 @@
 // seen is what was learned of an endpoint's process.
 type seen struct {
 	weight     float64
-	pace, tail float64 // answer time over the product's usual: mean and high quantile
+	tail       float64 // high quantile of answer times over the product's usual
 	room       float64 // legs it may have
 	braked     Millis  // when room last fell; 0 before
 	good, bad  float64 // fading counts of outcomes
@@ -108,9 +105,6 @@
 	usualAt     Millis
 }
 
-// kind is what was learned of all endpoints of a kind together: one alone answers a light sidecar too seldom.
-type kind struct{ pace, answers float64 }
-
 type leg struct {
 	to                          *endpoint
 	sent                        Millis
@@ -176,7 +170,6 @@
 	ready     []*endpoint
 	odds      []float64 // of the ready ones, in a pick
 	meanSize  float64
-	kinds     []kind
 	askWait   Millis
 
 	// Exchanges in hand.
@@ -256,9 +249,7 @@
 }
 
 // Listed takes one entry. Whatever is not Running gets nothing new from here on.
-func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, k KindID, size float64,
-	readyAt Millis,
-) {
+func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
 	e := b.known[id]
 	if e == nil {
 		e = &endpoint{id: id}
@@ -268,10 +259,7 @@
 	} else if readyAt > e.readyAt {
 		b.renew(e) // a restart: what was known of the old process misleads about the new one
 	}
-	e.zone, e.cell, e.kind, e.size, e.readyAt = zone, cell, k, size, max(readyAt, 0)
-	for int(k) >= len(b.kinds) {
-		b.kinds = append(b.kinds, kind{pace: 1})
-	}
+	e.zone, e.cell, e.size, e.readyAt = zone, cell, size, max(readyAt, 0)
 	if size <= 0 {
 		e.size = 1
 	}
@@ -280,12 +268,12 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.seen = seen{weight: weightMost, pace: 1, tail: tailAtStart, room: math.Min(roomAtStart*b.roomLeast, 1)}
+	e.seen = seen{weight: weightMost, tail: b.typicalTail, room: math.Min(roomAtStart*b.roomLeast, 1)}
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 	if n := float64(len(b.ready)); n > 0 {
-		e.weight, e.pace, e.tail = 0, 0, 0
+		e.weight = 0
 		for _, o := range b.ready {
-			e.weight, e.pace, e.tail = e.weight+o.weight/n, e.pace+o.pace/n, e.tail+o.tail/n
+			e.weight += o.weight / n
 		}
 	}
 }
@@ -626,7 +614,7 @@
 				!b.trusts(x, e) {
 				continue
 			}
-			b.odds[i] = e.weight * e.size * b.capacityNow(e) / b.kinds[e.kind].pace
+			b.odds[i] = e.weight * e.size * b.capacityNow(e)
 			if e.zone != b.zone {
 				b.odds[i] *= b.awayOdds
 			}
@@ -778,12 +766,6 @@
 			e.good /= 2 // a long good record must not hide that a server has just gone
 		}
 	}
-	if o == TimedOut || o == Cancelled {
-		// An answer that did not come is at least as late as this: waiting must not look fast.
-		if r := took / b.usualOf(x); r > e.pace {
-			e.pace += paceGain * (r - e.pace)
-		}
-	}
 	b.judge(e)
 }
 
@@ -806,10 +788,6 @@
 		p.best = p.usual
 	}
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
-	e.pace += paceGain * (r - e.pace)
-	k := &b.kinds[e.kind]
-	k.answers++
-	k.pace += math.Max(1/(k.answers+1), kindGain) * (r - k.pace)
 	if r > e.tail {
 		e.tail += tailStep * tailQuantile * e.tail
 	} else {
@@ -924,9 +902,6 @@
 			e.bad = math.Max(e.bad, 1+doubtAt*2*e.good)
 		}
 		e.tail += (1 - b.fade) * (b.typicalTail - e.tail) // what is not asked is not condemned for ever
-		if e.legs == 0 {
-			e.pace += (1 - b.fade) * (1 - e.pace) * 0.5
-		}
 		if b.isCold(e) {
 			own := b.rate * e.size / math.Max(b.meanSize*float64(len(b.ready)), 0.01)
 			allowed := b.coldRate * b.capacityNow(e) * math.Max(own, 0.5/b.usual/b.fleet)
--- a/logic/types.go
+++ b/logic/types.go
@@ -8,7 +8,6 @@
 	EndpointID string // one server, as the list names it
 	ZoneID     int
 	CellID     int
-	KindID     int // of machine, in the order first heard of
 	ProductID  int // place in Terms.Products; anything outside is an unknown product
 	TenantID   int // place in Terms.Tenants; anything outside is no tenant
 	LegNo      int // legs of one exchange count from 0
