--- a/logic/logic.go
+++ b/logic/logic.go
@@ -51,7 +51,7 @@
 	strangeShare, badShare    = 0.03, 0.02 // legs to strange endpoints; draw of those lately late among them
 	roomAtStart               = 2.0        // times the least
 	roomLeast                 = 4.0        // legs of all sidecars together that a room leaves at the least
-	roomOver                  = 1.3        // legs out over all rooms together
+	roomOver, legsFree        = 1.3, 3.0   // legs out over all rooms together, but so many at any size
 	roomRise                  = 0.02       // a room grows by this part an answer in time
 	roomFall                  = 0.8        // and falls to this part at a late one, once for all legs then out
 	usualAtStart              = 0.25       // of the shortest expected time
@@ -596,51 +596,43 @@
 
 // ---- the pick
 
-// pick draws two endpoints by weight and takes the one with fewer legs, counted in answer time.
+// pick draws two endpoints by weight and takes the one with fewer legs.
 // Doubtful ones are left out even when the others are full: they have room because they fail.
 func (b *Balancer) pick(x *exchange) *endpoint {
-	rooms := 0.0
-	for _, e := range b.ready {
-		rooms += e.room * b.capacityNow(e) // a cold server's room is not there yet
-	}
-	if float64(b.out+1) > math.Max(rooms*roomOver, 3) {
-		return nil // a large fleet's many small rooms must not add up to a crowd
-	}
-	for try := range 2 {
-		total := 0.0
-		for i, e := range b.ready {
-			b.odds[i] = 0
-			if e.legs > 0 && float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || try < 1 && x.tried(e) ||
-				!b.trusts(x, e) {
-				continue
-			}
-			b.odds[i] = e.weight * e.size * b.capacityNow(e)
-			if e.zone != b.zone {
-				b.odds[i] *= b.awayOdds
-			}
-			if !b.familiar(e) {
-				b.odds[i] *= b.strange
-				if b.now-e.lost < familiarShare*b.lasting {
-					b.odds[i] *= badShare
-				}
-			}
-			total += b.odds[i]
-		}
-		if total <= 0 {
+	rooms, total := 0.0, 0.0
+	for i, e := range b.ready {
+		part := b.capacityNow(e)
+		rooms += e.room * part // a cold server's room is not there yet
+		b.odds[i] = 0
+		if e.legs > 0 && float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || !b.trusts(x, e) {
 			continue
 		}
-		one := b.draw(total)
-		total -= b.odds[one]
-		b.odds[one] = 0
-		if total <= 1e-9 {
-			return b.ready[one]
+		odds := e.weight * e.size * part
+		if e.zone != b.zone {
+			odds *= b.awayOdds
 		}
+		if !b.familiar(e) {
+			odds *= b.strange
+			if b.now-e.lost < familiarShare*b.lasting || x.tried(e) {
+				odds *= badShare
+			}
+		}
+		b.odds[i] = odds
+		total += odds
+	}
+	// A large fleet's many small rooms must not add up to a crowd.
+	if total <= 0 || float64(b.out+1) > math.Max(rooms*roomOver, legsFree) {
+		return nil
+	}
+	one := b.draw(total)
+	total -= b.odds[one]
+	b.odds[one] = 0
+	if total > 1e-9 {
 		if two := b.draw(total); b.load(b.ready[two]) < b.load(b.ready[one]) {
-			return b.ready[two]
+			one = two
 		}
-		return b.ready[one]
 	}
-	return nil
+	return b.ready[one]
 }
 
 // familiar tells whether an endpoint's last leg was answered in time, and lately: a light sidecar meets one of a
@@ -662,7 +654,7 @@
 	return last
 }
 
-// load is the design's count of legs in flight, each as long as this endpoint takes.
+// load is the design's count of legs in flight.
 func (b *Balancer) load(e *endpoint) float64 {
 	l := float64(e.legs + 1)
 	if e.zone != b.zone {
@@ -760,7 +752,7 @@
 		e.weight = math.Min(e.weight+weightRise, weightMost)
 		b.learn(x, e, took)
 	case Errored, Reset, TimedOut, NoConnection:
-		e.weight = math.Max(e.weight*weightFall, weightLeast)
+		e.weight, e.lost = math.Max(e.weight*weightFall, weightLeast), b.now
 		e.bad++
 		if o != TimedOut {
 			e.good /= 2 // a long good record must not hide that a server has just gone
