--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,6 @@
 // Ours, as ratios to what the terms say or what is seen.
 const (
 	beatShare                 = 0.2      // of the shortest expected time: the pulse of upkeep
-	lastingShare              = 1.0      // of the longest expected time: until staff are told of a state
 	memoryShare               = 8.0      // of the longest expected time: how long health evidence counts
 	lateShare                 = 0.4      // of the expected time: a leg that takes longer finds a crowd;
 	lateBest, lateLimit       = 1.8, 0.5 // or over so many times its product's best mean, up to this share
@@ -49,7 +48,6 @@
 	familiarShare             = 16.0       // longest expected times that an answer in time is remembered
 	familiarSpan              = 0.5        // of the longest expected time: its legs all find familiar ones
 	strangeShare, badShare    = 0.03, 0.02 // legs to strange endpoints; draw of those lately late among them
-	roomAtStart               = 2.0        // times the least
 	roomLeast                 = 4.0        // legs of all sidecars together that a room leaves at the least
 	roomOver, legsFree        = 1.3, 3.0   // legs out over all rooms together, but so many at any size
 	roomRise                  = 0.02       // a room grows by this part an answer in time
@@ -58,7 +56,7 @@
 	usualMemory               = 30000.0    // milliseconds over which a product's usual time is averaged
 	slowTail                  = 2.5        // an endpoint's high quantile over its fellows' that is a fault
 	tailQuantile, tailStep    = 0.9, 0.08
-	tailAtStart, typicalStep  = 2.0, 0.002
+	tailAtStart               = 2.0
 	doubtAt                   = 0.25 // share of bad outcomes that makes an endpoint doubtful
 	trustAt                   = 0.8  // drawn chance of success that gives it a trial
 	coldMargin                = 0.4  // of the fall multiple that all sidecars together may use
@@ -169,7 +167,7 @@
 	known     map[EndpointID]*endpoint
 	ready     []*endpoint
 	odds      []float64 // of the ready ones, in a pick
-	meanSize  float64
+	sizes     float64   // of the ready ones
 	askWait   Millis
 
 	// Exchanges in hand.
@@ -186,7 +184,7 @@
 	ratio, retries, usual, sent, rate, admittedAll float64
 	lost, lostLong                                 float64 // shares of lost legs, of late and for longer
 	shutUntil                                      Millis
-	usualRank, typicalTail, strange                float64   // strange: draw of an endpoint that is not familiar
+	usualRank, tail, strange                       float64   // strange: draw of an endpoint that is not familiar
 	crowding                                       float64   // fading share of beats in which exchanges waited or were shed
 	admitted                                       []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded                             bool
@@ -198,9 +196,9 @@
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
 		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel,
-		mustAsk: t.MustAsk, strange: 1, typicalTail: tailAtStart,
+		mustAsk: t.MustAsk, strange: 1, tail: tailAtStart,
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
-		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
+		cold: max(t.Cold, 1), coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
 	}
@@ -219,9 +217,10 @@
 	if longest == 0 {
 		shortest, longest = 1000, 1000
 	}
-	b.unknown = product{Product: Product{Value: 1, Overdue: 1, Expected: longest}, usualAt: now}
+	b.unknown = product{Product: Product{Value: 1, Overdue: 1, Expected: longest}, usualAt: now,
+		usual: float64(longest) * usualAtStart}
 	b.beat, b.usual = shortest*beatShare, float64(shortest)*usualAtStart
-	b.lasting = longest * lastingShare
+	b.lasting = longest
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
 	b.Wake(b.beat, 0)
 	if b.mustAsk {
@@ -268,7 +267,7 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.seen = seen{weight: weightMost, tail: b.typicalTail, room: math.Min(roomAtStart*b.roomLeast, 1)}
+	e.seen = seen{weight: weightMost, tail: b.tail, room: b.roomLeast}
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 	if n := float64(len(b.ready)); n > 0 {
 		e.weight = 0
@@ -280,14 +279,13 @@
 
 // ListEnds ends a list event. The disk's list is old; any other shows that the watch works.
 func (b *Balancer) ListEnds(fromDisk bool) {
-	b.ready, b.meanSize = b.ready[:0], 0
+	b.ready, b.sizes = b.ready[:0], 0
 	for _, e := range b.endpoints {
 		if e.running = e.running && e.listed; e.running {
 			b.ready = append(b.ready, e)
-			b.meanSize += e.size
+			b.sizes += e.size
 		}
 	}
-	b.meanSize /= math.Max(float64(len(b.ready)), 1)
 	b.odds = slices.Grow(b.odds[:0], len(b.ready))[:len(b.ready)]
 	if !fromDisk {
 		b.askWait = b.askFirst
@@ -532,7 +530,7 @@
 
 // furtherLeg tells whether another leg is affordable and could be answered in time.
 func (b *Balancer) furtherLeg(x *exchange) bool {
-	return b.retries >= 1 && float64(x.horizon-b.now) > b.usualOf(x)/2 && len(x.legs) < b.maxLegs &&
+	return b.retries >= 1 && float64(x.horizon-b.now) > x.product.usual/2 && len(x.legs) < b.maxLegs &&
 		slices.ContainsFunc(b.ready, func(e *endpoint) bool { return b.gate(x, e) })
 }
 
@@ -578,21 +576,11 @@
 
 // capacityNow is the least part of its full capacity that an endpoint has by now.
 func (b *Balancer) capacityNow(e *endpoint) float64 {
-	if !b.isCold(e) {
-		return 1
-	}
-	return b.coldFrom + (1-b.coldFrom)*math.Max(float64((b.now-e.readyAt)/b.cold), 0)
+	return math.Min(b.coldFrom+(1-b.coldFrom)*math.Max(float64((b.now-e.readyAt)/b.cold), 0), 1)
 }
 
 // effort is an exchange's work over the mean.
-func (b *Balancer) effort(x *exchange) float64 { return b.usualOf(x) / b.usual }
-
-func (b *Balancer) usualOf(x *exchange) float64 {
-	if x.product.answers < 1 {
-		return b.usual
-	}
-	return x.product.usual
-}
+func (b *Balancer) effort(x *exchange) float64 { return x.product.usual / b.usual }
 
 // ---- the pick
 
@@ -613,7 +601,7 @@
 		}
 		if !b.familiar(e) {
 			odds *= b.strange
-			if b.now-e.lost < familiarShare*b.lasting || x.tried(e) {
+			if b.now-e.lost < familiarShare*b.lasting {
 				odds *= badShare
 			}
 		}
@@ -663,10 +651,6 @@
 	return l
 }
 
-func (x *exchange) tried(e *endpoint) bool {
-	return slices.ContainsFunc(x.legs, func(l leg) bool { return l.to == e })
-}
-
 // trusts draws from the posterior of a doubtful endpoint's chance of success, so that it is tried
 // now and then, with one replayable leg at a time, and found again when it recovers.
 func (b *Balancer) trusts(x *exchange, e *endpoint) bool {
@@ -698,7 +682,7 @@
 	}
 	x.next = stepQueued
 	b.queue = append(b.queue, x)
-	b.wakeFor(x, max(min(x.horizon-b.now-Millis(b.usualOf(x)), (x.horizon-b.now)/2), 1), waitOver)
+	b.wakeFor(x, max(min(x.horizon-b.now-Millis(x.product.usual), (x.horizon-b.now)/2), 1), waitOver)
 	for len(b.queue) > 0 {
 		least := slices.MinFunc(b.queue, b.byRank)
 		wait := float64(len(b.queue)) * b.usual / math.Max(float64(b.out), 1)
@@ -712,7 +696,7 @@
 
 // rank is value for work; a tenant beyond its share comes after those within theirs.
 func (b *Balancer) rank(x *exchange) float64 {
-	r := x.product.Value / b.usualOf(x)
+	r := x.product.Value / x.product.usual
 	if x.tenant >= 0 && int(x.tenant) < len(b.admitted) {
 		if b.admitted[x.tenant] > shareSlack*b.tenants[x.tenant]*b.admittedAll {
 			r *= b.overShare
@@ -754,9 +738,6 @@
 	case Errored, Reset, TimedOut, NoConnection:
 		e.weight, e.lost = math.Max(e.weight*weightFall, weightLeast), b.now
 		e.bad++
-		if o != TimedOut {
-			e.good /= 2 // a long good record must not hide that a server has just gone
-		}
 	}
 	b.judge(e)
 }
@@ -780,14 +761,18 @@
 		p.best = p.usual
 	}
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
-	if r > e.tail {
-		e.tail += tailStep * tailQuantile * e.tail
-	} else {
-		e.tail -= tailStep * (1 - tailQuantile) * e.tail
-	}
+	e.tail, b.tail = toward(e.tail, r), toward(b.tail, r)
 	e.good++
 }
 
+// toward steps from a high quantile of answer times by what one more answer says.
+func toward(tail, r float64) float64 {
+	if r > tail {
+		return tail * (1 + tailStep*tailQuantile)
+	}
+	return tail * (1 - tailStep*(1-tailQuantile))
+}
+
 // weigh books how long a leg took or is out already: silence counts before any time-out runs out.
 func (b *Balancer) weigh(x *exchange, l *leg, o Outcome, took float64) {
 	expected, best := float64(x.product.Expected), x.product.best
@@ -823,7 +808,6 @@
 func (b *Balancer) judge(e *endpoint) {
 	if doubted := e.bad >= 1 && e.bad > doubtAt*(e.good+e.bad); doubted != e.doubted {
 		e.doubted, e.changed = doubted, b.now
-		b.count()
 	}
 }
 
@@ -885,17 +869,12 @@
 	}
 	for _, e := range b.ready {
 		e.good, e.bad = e.good*b.fade, e.bad*b.fade
-		if e.tail > b.typicalTail {
-			b.typicalTail *= 1 + typicalStep // steps of one size up and down end at the median
-		} else {
-			b.typicalTail /= 1 + typicalStep
-		}
-		if e.tail > slowTail*b.typicalTail {
+		if e.tail > slowTail*b.tail {
 			e.bad = math.Max(e.bad, 1+doubtAt*2*e.good)
 		}
-		e.tail += (1 - b.fade) * (b.typicalTail - e.tail) // what is not asked is not condemned for ever
+		e.tail += (1 - b.fade) * (b.tail - e.tail) // what is not asked is not condemned for ever
 		if b.isCold(e) {
-			own := b.rate * e.size / math.Max(b.meanSize*float64(len(b.ready)), 0.01)
+			own := b.rate * e.size / math.Max(b.sizes, 0.01)
 			allowed := b.coldRate * b.capacityNow(e) * math.Max(own, 0.5/b.usual/b.fleet)
 			e.tokens = math.Min(e.tokens+allowed*float64(b.beat), math.Max(1, allowed*float64(b.fall)/4))
 		}
