--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -181,13 +181,15 @@
 		Seed: v.GetUint64("init-seed"), Fleet: env.GetInt("fleet-size"),
 		Zone: i.zone(env.GetStringBytes("locality")), OverShare: env.GetFloat64("overage-value"),
 		MaxLegs: allowed.GetInt("max-legs"), SecondCopies: allowed.GetBool("second-copies"),
-		MayCancel: allowed.GetBool("may-cancel"), MayAdvise: allowed.GetBool("retry-after"),
-		LongestAdvice: millis(allowed, "max-retry-after"),
-		MustAsk:       string(env.GetStringBytes("registry-mode")) != "pushed",
-		AskWithin:     millis(rules, "ask-within"), Cold: millis(rules, "cold"), Fall: millis(rules, "fall"),
+		MayCancel: allowed.GetBool("may-cancel"),
+		MustAsk:   string(env.GetStringBytes("registry-mode")) != "pushed",
+		AskWithin: millis(rules, "ask-within"), Cold: millis(rules, "cold"), Fall: millis(rules, "fall"),
 		ColdFrom: rules.GetFloat64("cold-from"), FallMultiple: rules.GetFloat64("fall-multiple"),
 		CrossPrice: env.GetFloat64("prices", "cross-zone"), Tick: millis(env, "tick"),
 	}
+	if allowed.GetBool("retry-after") {
+		t.LongestAdvice = millis(allowed, "max-retry-after")
+	}
 	for n, p := range env.GetArray("products") {
 		i.products[string(p.GetStringBytes("name"))] = logic.ProductID(n)
 		t.Products = append(t.Products, logic.Product{
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,7 +56,6 @@
 	usualMemory               = 30000.0    // milliseconds over which a product's usual time is averaged
 	slowTail                  = 2.5        // an endpoint's high quantile over its fellows' that is a fault
 	tailQuantile, tailStep    = 0.9, 0.08
-	tailAtStart               = 2.0
 	doubtAt                   = 0.25 // share of bad outcomes that makes an endpoint doubtful
 	trustAt                   = 0.8  // drawn chance of success that gives it a trial
 	coldMargin                = 0.4  // of the fall multiple that all sidecars together may use
@@ -119,7 +118,6 @@
 	streamBegan
 )
 
-// result is what a step is handed.
 type result struct {
 	what    what
 	outcome Outcome
@@ -185,7 +183,7 @@
 	lost, lostLong                                 float64 // shares of lost legs, of late and for longer
 	shutUntil                                      Millis
 	usualRank, tail, strange                       float64   // strange: draw of an endpoint that is not familiar
-	crowding                                       float64   // fading share of beats in which exchanges waited or were shed
+	crowding                                       float64   // fading share of beats with a queue or shedding
 	admitted                                       []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded                             bool
 }
@@ -196,20 +194,17 @@
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
 		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel,
-		mustAsk: t.MustAsk, strange: 1, tail: tailAtStart,
+		mustAsk: t.MustAsk, strange: 1, tail: slowTail,
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
-		cold: max(t.Cold, 1), coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
+		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
-		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now,
+		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice,
 	}
 	b.askWait, b.roomLeast = b.askFirst, math.Min(roomLeast/b.fleet, 1)
-	if t.MayAdvise {
-		b.advice = t.LongestAdvice
-	}
 	shortest, longest := Millis(math.Inf(1)), Millis(0)
 	for _, p := range t.Products {
 		b.products = append(b.products,
-			product{Product: p, usualAt: now, usual: float64(p.Expected) * usualAtStart})
+			product{Product: p, usualAt: now, usual: math.Max(float64(p.Expected)*usualAtStart, 1)})
 		if p.Expected > 0 {
 			shortest, longest = min(shortest, p.Expected), max(longest, p.Expected)
 		}
@@ -229,7 +224,6 @@
 	return b
 }
 
-// At sets the clock.
 func (b *Balancer) At(now Millis) { b.now = now }
 
 // chance is a multiply-with-carry generator's next number, from 0 to 1 exclusive.
@@ -324,9 +318,8 @@
 	}
 }
 
-// admits sheds what the endpoints cannot take, by the share of legs that were lost: where a hundred light
-// sidecars share the endpoints, legs out bound nothing. The less worthy goes first. A client that asks
-// again at once finds the door still shut: four or five draws would let nearly all of it through.
+// admits sheds by the share of lost legs, the less worthy first: legs out of a light sidecar bound nothing.
+// Who asks again at once finds the door still shut: four or five draws would let nearly all of it through.
 func (b *Balancer) admits(x *exchange) bool {
 	rank := b.rank(x)
 	if b.usualRank == 0 {
@@ -350,13 +343,14 @@
 }
 
 func (b *Balancer) seat() *exchange {
-	if len(b.free) == 0 {
+	last := len(b.free) - 1
+	if last < 0 {
 		x := &exchange{place: len(b.places), legs: make([]leg, 0, b.maxLegs)}
 		b.places = append(b.places, x)
 		return x
 	}
-	x := b.free[len(b.free)-1]
-	b.free = b.free[:len(b.free)-1]
+	x := b.free[last]
+	b.free = b.free[:last]
 	return x
 }
 
@@ -396,16 +390,12 @@
 	x.out, e.legs, b.out, b.sent = x.out+1, e.legs+1, b.out+1, b.sent+1
 	x.next = stepRunning
 	b.Send(x.id, e.id, patience)
-	if x.out == 1 && b.samples >= copyFloor && b.timer < x.horizon-b.now && b.mayRepeat(x) {
+	if b.copies && len(x.legs) == 1 && b.samples >= copyFloor && b.timer < x.horizon-b.now {
 		b.wakeFor(x, b.timer, copyDue)
 	}
 	return true
 }
 
-func (b *Balancer) mayRepeat(x *exchange) bool {
-	return b.copies && x.product.Effect != SingleUse && len(x.legs) < b.maxLegs
-}
-
 func (b *Balancer) wakeFor(x *exchange, after Millis, w what) {
 	b.Wake(after, TimerID(x.place)<<40|TimerID(x.turn)<<8|TimerID(w)<<4|2)
 }
@@ -536,8 +526,7 @@
 
 // copy sends the second leg of the design, unless all are slow: then copies only feed the trouble.
 func (b *Balancer) copy(x *exchange) {
-	if x.out != 1 || len(x.legs) > 1 || !b.mayRepeat(x) || b.ratio >= copyRatio ||
-		b.lostLong > lostCopies {
+	if x.out != 1 || len(x.legs) > 1 || b.ratio >= copyRatio || b.lostLong > lostCopies {
 		return
 	}
 	if e := b.pick(x); e != nil && b.send(x, e) {
@@ -576,7 +565,10 @@
 
 // capacityNow is the least part of its full capacity that an endpoint has by now.
 func (b *Balancer) capacityNow(e *endpoint) float64 {
-	return math.Min(b.coldFrom+(1-b.coldFrom)*math.Max(float64((b.now-e.readyAt)/b.cold), 0), 1)
+	if !b.isCold(e) {
+		return 1
+	}
+	return b.coldFrom + (1-b.coldFrom)*math.Max(float64((b.now-e.readyAt)/b.cold), 0)
 }
 
 // effort is an exchange's work over the mean.
@@ -623,8 +615,8 @@
 	return b.ready[one]
 }
 
-// familiar tells whether an endpoint's last leg was answered in time, and lately: a light sidecar meets one of a
-// hundred endpoints once a minute, too seldom to know which are slow, so it keeps to a few that serve it well.
+// familiar tells whether an endpoint lately answered in time: a light sidecar meets one of a hundred too
+// seldom to know which turned slow, so it keeps to a few that serve it well.
 func (b *Balancer) familiar(e *endpoint) bool {
 	return e.fine > e.lost && b.now-e.fine < familiarShare*b.lasting
 }
@@ -632,11 +624,8 @@
 func (b *Balancer) draw(total float64) int {
 	at, last := b.chance()*total, 0
 	for i, w := range b.odds {
-		if w > 0 {
-			if last = i; at < w {
-				break
-			}
-			at -= w
+		if w > 0 && at >= 0 {
+			at, last = at-w, i
 		}
 	}
 	return last
@@ -697,10 +686,9 @@
 // rank is value for work; a tenant beyond its share comes after those within theirs.
 func (b *Balancer) rank(x *exchange) float64 {
 	r := x.product.Value / x.product.usual
-	if x.tenant >= 0 && int(x.tenant) < len(b.admitted) {
-		if b.admitted[x.tenant] > shareSlack*b.tenants[x.tenant]*b.admittedAll {
-			r *= b.overShare
-		}
+	t := int(x.tenant)
+	if t >= 0 && t < len(b.admitted) && b.admitted[t] > shareSlack*b.tenants[t]*b.admittedAll {
+		r *= b.overShare
 	}
 	return r
 }
@@ -804,7 +792,6 @@
 	}
 }
 
-// judge decides whether an endpoint is doubtful.
 func (b *Balancer) judge(e *endpoint) {
 	if doubted := e.bad >= 1 && e.bad > doubtAt*(e.good+e.bad); doubted != e.doubted {
 		e.doubted, e.changed = doubted, b.now
@@ -865,7 +852,14 @@
 		b.window[b.part].copies, b.window[b.part].ended = 0, 0
 	}
 	if b.now-b.ratioAt >= copyRefresh {
-		b.ratioAt, b.ratio = b.now, b.copyRatioNow()
+		copies, ended := 0.0, 0.0
+		for _, w := range b.window {
+			copies, ended = copies+w.copies, ended+w.ended
+		}
+		b.ratioAt, b.ratio = b.now, 0
+		if ended > 0 {
+			b.ratio = copies / ended
+		}
 	}
 	for _, e := range b.ready {
 		e.good, e.bad = e.good*b.fade, e.bad*b.fade
@@ -891,14 +885,3 @@
 	b.report()
 	b.drain()
 }
-
-func (b *Balancer) copyRatioNow() float64 {
-	copies, ended := 0.0, 0.0
-	for _, w := range b.window {
-		copies, ended = copies+w.copies, ended+w.ended
-	}
-	if ended == 0 {
-		return 0
-	}
-	return copies / ended
-}
--- a/logic/types.go
+++ b/logic/types.go
@@ -67,21 +67,21 @@
 
 // Terms are what an instance is told when it starts.
 type Terms struct {
-	Seed                               uint64
-	Fleet                              int
-	Zone                               ZoneID
-	Products                           []Product
-	Tenants                            []float64 // share of each
-	OverShare                          float64   // value of what is beyond a share, as a part
-	MaxLegs                            int
-	SecondCopies, MayCancel, MayAdvise bool
-	LongestAdvice                      Millis
-	MustAsk                            bool // the list comes only when asked for
-	AskWithin                          Millis
-	Cold, Fall                         Millis
-	ColdFrom, FallMultiple             float64
-	CrossPrice                         float64
-	Tick                               Millis
+	Seed                    uint64
+	Fleet                   int
+	Zone                    ZoneID
+	Products                []Product
+	Tenants                 []float64 // share of each
+	OverShare               float64   // value of what is beyond a share, as a part
+	MaxLegs                 int
+	SecondCopies, MayCancel bool
+	LongestAdvice           Millis // that clients heed; 0 where none may be given
+	MustAsk                 bool   // the list comes only when asked for
+	AskWithin               Millis
+	Cold, Fall              Millis
+	ColdFrom, FallMultiple  float64
+	CrossPrice              float64
+	Tick                    Millis
 }
 
 // Outgoing is what the module asks of its surroundings. Calls take effect in order, at once.
