--- a/logic/logic.go
+++ b/logic/logic.go
@@ -124,7 +124,6 @@
 	closed  bool
 }
 
-// step says what to do with an exchange's next result.
 type step func(b *Balancer, x *exchange, r result)
 
 // exchange is a place of the slab; its turn tells one user of the place from the next.
@@ -795,6 +794,7 @@
 func (b *Balancer) judge(e *endpoint) {
 	if doubted := e.bad >= 1 && e.bad > doubtAt*(e.good+e.bad); doubted != e.doubted {
 		e.doubted, e.changed = doubted, b.now
+		b.count()
 	}
 }
 
