--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -407,6 +407,7 @@
 				b.Ended(x, 0, Satisfied, 900, true)
 			}
 		}
+		b.lost, b.lostLong, b.shutUntil = 0, 0, 0 // rooms alone
 		for n := range 20 {
 			arrive(b, r, ExchangeID(fmt.Sprint("q", n)), singleUse)
 		}
