--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,7 @@
 	lateShare                 = 0.4      // of the expected time: a leg that takes longer finds a crowd;
 	lateBest, lateLimit       = 1.8, 0.5 // or over so many times its product's best mean, up to this share
 	lostLeast, lostMost       = 0.5, 0.9 // at least and at most this part: a leg that takes longer is lost
-	lostGain, lostGainLeast   = 0.3, 0.02
+	lostGain, lostGainLeast   = 0.25, 0.02
 	lostLong                  = 1.0 / 6    // of that gain, for the longer share of lost legs;
 	lostFade, lostLongFade    = 4.0, 16.0  // longest expected times in which both fade by themselves
 	shedAt, shedSpan          = 0.4, 0.25  // lost legs with which dismissals begin, and until all is dismissed
