--- a/logic/logic.go
+++ b/logic/logic.go
@@ -49,6 +49,7 @@
 	strangeShare, badShare    = 0.03, 0.02 // legs to strange endpoints; draw of those lately late among them
 	roomLeast                 = 4.0        // legs of all sidecars together that a room leaves at the least
 	roomOver, legsFree        = 1.3, 3.0   // legs out over all rooms together, but so many at any size
+	roomUse                   = 0.5        // of all rooms must be in use for one to grow: rooms won in calm let a burst in
 	roomRise                  = 0.02       // a room grows by this part an answer in time
 	roomFall                  = 0.8        // and falls to this part at a late one, once for all legs then out
 	usualAtStart              = 0.25       // of the shortest expected time
@@ -180,6 +181,7 @@
 	ratio, retries, usual, sent, rate, admittedAll float64
 	lost, lostLong                                 float64 // shares of lost legs, of late and for longer
 	shutUntil                                      Millis
+	rooms                                          float64
 	usualRank, tail, strange                       float64   // strange: draw of an endpoint that is not familiar
 	crowding                                       float64   // fading share of beats with a queue or shedding
 	admitted                                       []float64 // fading count of each tenant's exchanges
@@ -577,10 +579,11 @@
 // pick draws two endpoints by weight and takes the one with fewer legs.
 // Doubtful ones are left out even when the others are full: they have room because they fail.
 func (b *Balancer) pick(x *exchange) *endpoint {
-	rooms, total := 0.0, 0.0
+	total := 0.0
+	b.rooms = 0
 	for i, e := range b.ready {
 		part := b.capacityNow(e)
-		rooms += e.room * part // a cold server's room is not there yet
+		b.rooms += e.room * part // a cold server's room is not there yet
 		b.odds[i] = 0
 		if e.legs > 0 && float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || !b.trusts(x, e) {
 			continue
@@ -599,7 +602,7 @@
 		total += odds
 	}
 	// A large fleet's many small rooms must not add up to a crowd.
-	if total <= 0 || float64(b.out+1) > math.Max(rooms*roomOver, legsFree) {
+	if total <= 0 || float64(b.out+1) > math.Max(b.rooms*roomOver, legsFree) {
 		return nil
 	}
 	one := b.draw(total)
@@ -785,7 +788,7 @@
 	switch e := l.to; {
 	case late && l.sent >= e.braked:
 		e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
-	case !late && float64(e.legs+1) > e.room/2:
+	case !late && float64(e.legs+1) > e.room/2 && float64(b.out+1) > b.rooms*roomUse:
 		e.room += roomRise * math.Max(e.room, 1)
 	}
 }
