--- a/logic/logic.go
+++ b/logic/logic.go
@@ -49,7 +49,7 @@
 	strangeShare, badShare    = 0.03, 0.02 // legs to strange endpoints; draw of those lately late among them
 	roomLeast                 = 4.0        // legs of all sidecars together that a room leaves at the least
 	roomOver, legsFree        = 1.3, 3.0   // legs out over all rooms together, but so many at any size
-	roomUse                   = 0.5        // of all rooms must be in use for one to grow: rooms won in calm let a burst in
+	roomUse                   = 0.33       // of all rooms is in use, or none grows: won in calm, they let a burst in
 	roomRise                  = 0.02       // a room grows by this part an answer in time
 	roomFall                  = 0.8        // and falls to this part at a late one, once for all legs then out
 	usualAtStart              = 0.25       // of the shortest expected time
@@ -181,8 +181,7 @@
 	ratio, retries, usual, sent, rate, admittedAll float64
 	lost, lostLong                                 float64 // shares of lost legs, of late and for longer
 	shutUntil                                      Millis
-	rooms                                          float64
-	usualRank, tail, strange                       float64   // strange: draw of an endpoint that is not familiar
+	usualRank, tail, rooms, strange                float64   // strange: draw of an endpoint that is not familiar
 	crowding                                       float64   // fading share of beats with a queue or shedding
 	admitted                                       []float64 // fading count of each tenant's exchanges
 	mostDoubt, crowded                             bool
@@ -261,7 +260,7 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.seen = seen{weight: weightMost, tail: b.tail, room: b.roomLeast}
+	e.seen = seen{weight: weightMost, tail: b.tail, room: math.Min(b.roomLeast*(1+b.roomLeast), 1)}
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 	if n := float64(len(b.ready)); n > 0 {
 		e.weight = 0
@@ -361,7 +360,6 @@
 	b.free = append(b.free, x)
 }
 
-// route sends the next leg now or lines the exchange up.
 func (b *Balancer) route(x *exchange) {
 	if len(b.queue) == 0 {
 		if e := b.pick(x); e != nil {
@@ -571,7 +569,6 @@
 	return b.coldFrom + (1-b.coldFrom)*math.Max(float64((b.now-e.readyAt)/b.cold), 0)
 }
 
-// effort is an exchange's work over the mean.
 func (b *Balancer) effort(x *exchange) float64 { return x.product.usual / b.usual }
 
 // ---- the pick
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -416,6 +416,20 @@
 	}
 }
 
+// Rooms won in calm, a leg or two at each of many servers, must not let a burst in whole.
+func TestRoomsDoNotGrowUnused(t *testing.T) {
+	b, r := begin("abcdefghijklmnopqrstuvwxyz")
+	b.roomLeast = 0.04
+	for _, e := range b.ready {
+		e.room = b.roomLeast
+	}
+	serve(b, r, 2000, 20)
+	for n := range 100 {
+		arrive(b, r, ExchangeID(fmt.Sprint(n)), singleUse)
+	}
+	assert.LessOrEqual(t, b.out, 8)
+}
+
 // A server that is gone but still listed must be left after a few quick failures, whatever its record,
 // and must not take the overflow of full ones.
 func TestGoneServerGetsNoOverflow(t *testing.T) {
