--- /dev/null
+++ b/internal/terms/terms.go
@@ -0,0 +1,83 @@
+// Package terms turns the settings that an instance is given, as JSON, into the module's terms and the names
+// by which exchanges and lists refer to them. The simulator's adapter and the sidecar share it. It decides nothing.
+package terms
+
+import (
+	"github.com/valyala/fastjson"
+
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+// Names maps the settings' names to the module's ids.
+type Names struct {
+	products map[string]logic.ProductID
+	tenants  map[string]logic.TenantID
+	zones    map[string]logic.ZoneID
+}
+
+var effects = map[string]logic.Effect{"retryable": logic.Replayable, "dedup": logic.Referenced}
+
+var groups = map[string]logic.Group{"all": logic.AllEndpoints, "zone": logic.OneZone}
+
+// From reads the settings object.
+func From(settings *fastjson.Value, seed uint64) (logic.Terms, *Names) {
+	names := &Names{
+		products: map[string]logic.ProductID{}, tenants: map[string]logic.TenantID{}, zones: map[string]logic.ZoneID{},
+	}
+	allowed, rules := settings.Get("allowed"), settings.Get("guarantees")
+	t := logic.Terms{
+		Seed: seed, Fleet: settings.GetInt("fleet-size"),
+		Zone: names.Zone(settings.GetStringBytes("locality")), OverShare: settings.GetFloat64("overage-value"),
+		MaxLegs: allowed.GetInt("max-legs"), SecondCopies: allowed.GetBool("second-copies"),
+		MayCancel: allowed.GetBool("may-cancel"),
+		MustAsk:   string(settings.GetStringBytes("registry-mode")) != "pushed",
+		AskWithin: Millis(rules, "ask-within"), Cold: Millis(rules, "cold"), Fall: Millis(rules, "fall"),
+		ColdFrom: rules.GetFloat64("cold-from"), FallMultiple: rules.GetFloat64("fall-multiple"),
+		CrossPrice: settings.GetFloat64("prices", "cross-zone"), Tick: Millis(settings, "tick"),
+	}
+	if allowed.GetBool("retry-after") {
+		t.LongestAdvice = Millis(allowed, "max-retry-after")
+	}
+	for n, p := range settings.GetArray("products") {
+		names.products[string(p.GetStringBytes("name"))] = logic.ProductID(n)
+		t.Products = append(t.Products, logic.Product{
+			Effect: effects[string(p.GetStringBytes("effect"))], Group: groups[string(p.GetStringBytes("dedup-scope"))],
+			Remember: Millis(p, "key-ttl"), Expected: Millis(p, "expected-time"), Abandon: Millis(p, "abandon-time"),
+			Value: p.GetFloat64("value"), Overdue: p.GetFloat64("overdue-value"),
+		})
+	}
+	for n, p := range settings.GetArray("tenants") {
+		names.tenants[string(p.GetStringBytes("name"))] = logic.TenantID(n)
+		t.Tenants = append(t.Tenants, p.GetFloat64("portion"))
+	}
+	return t, names
+}
+
+// Millis reads a time; absent and null are 0.
+func Millis(v *fastjson.Value, key string) logic.Millis { return logic.Millis(v.GetFloat64(key)) }
+
+// Product is -1 for a name that the settings lack.
+func (n *Names) Product(name []byte) logic.ProductID {
+	if p, known := n.products[string(name)]; known {
+		return p
+	}
+	return -1
+}
+
+// Tenant is -1 for a name that the settings lack.
+func (n *Names) Tenant(name []byte) logic.TenantID {
+	if t, known := n.tenants[string(name)]; known {
+		return t
+	}
+	return -1
+}
+
+// Zone numbers zones as they are first named.
+func (n *Names) Zone(name []byte) logic.ZoneID {
+	z, known := n.zones[string(name)]
+	if !known {
+		z = logic.ZoneID(len(n.zones))
+		n.zones[string(name)] = z
+	}
+	return z
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"github.com/lynxjunction/lynxjunction/internal/terms"
 	"github.com/lynxjunction/lynxjunction/logic"
 )
 
@@ -60,7 +61,7 @@
 		}
 		switch msg := v.GetStringBytes("msg"); string(msg) {
 		case "SYNC":
-			inBatch, h.now = true, millis(v, "moment")
+			inBatch, h.now = true, terms.Millis(v, "moment")
 		case "EOB":
 			inBatch = false
 			if _, err := h.out.WriteString("{\"msg\":\"OK\"}\n"); err != nil {
@@ -130,10 +131,11 @@
 	case "MEMBERS":
 		i.members(string(v.GetStringBytes("scope")), h.lists[v.GetInt("ref")])
 	case "QUERY":
-		i.module.Arrive(logic.ExchangeID(v.GetStringBytes("ref")), i.product(v), i.tenant(v), millis(v, "deadline"))
+		i.module.Arrive(logic.ExchangeID(v.GetStringBytes("ref")), i.terms.Product(v.GetStringBytes("service")),
+			i.terms.Tenant(v.GetStringBytes("customer")), terms.Millis(v, "deadline"))
 	case "REPLY":
 		i.module.Ended(logic.ExchangeID(v.GetStringBytes("ref")), logic.LegNo(v.GetInt("try")),
-			outcomes[string(v.GetStringBytes("status"))], millis(v, "duration"), v.GetBool("closed"))
+			outcomes[string(v.GetStringBytes("status"))], terms.Millis(v, "duration"), v.GetBool("closed"))
 	case "FIRST_BYTE":
 		i.module.Began(logic.ExchangeID(v.GetStringBytes("ref")), logic.LegNo(v.GetInt("try")))
 	case "CLIENT_GONE":
@@ -143,65 +145,27 @@
 	}
 }
 
-func millis(v *fastjson.Value, key string) logic.Millis { return logic.Millis(v.GetFloat64(key)) }
-
 var outcomes = map[string]logic.Outcome{
 	"GOOD": logic.Satisfied, "BAD": logic.Errored, "FULL": logic.Full, "LATE": logic.TimedOut,
 	"NOCONN": logic.NoConnection, "RST": logic.Reset, "CXL": logic.Cancelled, "NOP": logic.NotSent,
 }
 
-var effects = map[string]logic.Effect{"retryable": logic.Replayable, "dedup": logic.Referenced}
-
-var groups = map[string]logic.Group{"all": logic.AllEndpoints, "zone": logic.OneZone}
-
 var healths = map[string]logic.Health{"Running": logic.Running}
 
 // instance is one sidecar: its module, its names, and the writer of its actions.
 type instance struct {
-	number   int
-	module   *logic.Balancer
-	out      *bufio.Writer
-	arena    fastjson.Arena
-	text     []byte
-	products map[string]logic.ProductID
-	tenants  map[string]logic.TenantID
-	zones    map[string]logic.ZoneID
-	names    map[string]logic.EndpointID
+	number int
+	module *logic.Balancer
+	out    *bufio.Writer
+	arena  fastjson.Arena
+	text   []byte
+	terms  *terms.Names
+	names  map[string]logic.EndpointID
 }
 
 func start(number int, v *fastjson.Value, out *bufio.Writer, now logic.Millis) *instance {
-	i := &instance{
-		number: number, out: out,
-		products: map[string]logic.ProductID{}, tenants: map[string]logic.TenantID{},
-		zones: map[string]logic.ZoneID{}, names: map[string]logic.EndpointID{},
-	}
-	env := v.Get("env")
-	allowed, rules := env.Get("allowed"), env.Get("guarantees")
-	t := logic.Terms{
-		Seed: v.GetUint64("init-seed"), Fleet: env.GetInt("fleet-size"),
-		Zone: i.zone(env.GetStringBytes("locality")), OverShare: env.GetFloat64("overage-value"),
-		MaxLegs: allowed.GetInt("max-legs"), SecondCopies: allowed.GetBool("second-copies"),
-		MayCancel: allowed.GetBool("may-cancel"),
-		MustAsk:   string(env.GetStringBytes("registry-mode")) != "pushed",
-		AskWithin: millis(rules, "ask-within"), Cold: millis(rules, "cold"), Fall: millis(rules, "fall"),
-		ColdFrom: rules.GetFloat64("cold-from"), FallMultiple: rules.GetFloat64("fall-multiple"),
-		CrossPrice: env.GetFloat64("prices", "cross-zone"), Tick: millis(env, "tick"),
-	}
-	if allowed.GetBool("retry-after") {
-		t.LongestAdvice = millis(allowed, "max-retry-after")
-	}
-	for n, p := range env.GetArray("products") {
-		i.products[string(p.GetStringBytes("name"))] = logic.ProductID(n)
-		t.Products = append(t.Products, logic.Product{
-			Effect: effects[string(p.GetStringBytes("effect"))], Group: groups[string(p.GetStringBytes("dedup-scope"))],
-			Remember: millis(p, "key-ttl"), Expected: millis(p, "expected-time"), Abandon: millis(p, "abandon-time"),
-			Value: p.GetFloat64("value"), Overdue: p.GetFloat64("overdue-value"),
-		})
-	}
-	for n, p := range env.GetArray("tenants") {
-		i.tenants[string(p.GetStringBytes("name"))] = logic.TenantID(n)
-		t.Tenants = append(t.Tenants, p.GetFloat64("portion"))
-	}
+	t, names := terms.From(v.Get("env"), v.GetUint64("init-seed"))
+	i := &instance{number: number, out: out, terms: names, names: map[string]logic.EndpointID{}}
 	i.module = logic.New(t, i, now)
 	return i
 }
@@ -219,35 +183,12 @@
 	}
 	for _, e := range list.entries {
 		i.module.Listed(i.name(e.GetStringBytes("endpoint")), healths[string(e.GetStringBytes("health"))],
-			i.zone(e.GetStringBytes("locality")), logic.CellID(e.GetInt("bay")), e.GetFloat64("units"),
-			millis(e, "ready-at"))
+			i.terms.Zone(e.GetStringBytes("locality")), logic.CellID(e.GetInt("bay")), e.GetFloat64("units"),
+			terms.Millis(e, "ready-at"))
 	}
 	i.module.ListEnds(scope == "disk")
 }
 
-func (i *instance) product(v *fastjson.Value) logic.ProductID {
-	if p, known := i.products[string(v.GetStringBytes("service"))]; known {
-		return p
-	}
-	return -1
-}
-
-func (i *instance) tenant(v *fastjson.Value) logic.TenantID {
-	if t, known := i.tenants[string(v.GetStringBytes("customer"))]; known {
-		return t
-	}
-	return -1
-}
-
-func (i *instance) zone(name []byte) logic.ZoneID {
-	z, known := i.zones[string(name)]
-	if !known {
-		z = logic.ZoneID(len(i.zones))
-		i.zones[string(name)] = z
-	}
-	return z
-}
-
 func (i *instance) name(text []byte) logic.EndpointID {
 	e, known := i.names[string(text)]
 	if !known {
