--- /dev/null
+++ b/internal/sidecar/discovery.go
@@ -0,0 +1,176 @@
+// Discovery: the list of endpoints. This file owns the decoding of lists, the watch, and which endpoints the list named
+// last. It must never judge an endpoint, nor ask again by itself: the module is told of a failure and asks.
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"github.com/lynxjunction/lynxjunction/internal/terms"
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+const (
+	beat     = 2 * time.Second
+	silence  = 2*beat + beat/4 // over two beats
+	listMost = 4 << 20
+)
+
+// entry is one entry of a list.
+type entry struct {
+	id, addr, zone string
+	cell           logic.CellID
+	running        bool
+	weight         float64
+	started        logic.Millis
+}
+
+// inventory is a list or a change of it.
+type inventory struct {
+	version int64
+	full    bool
+	servers []entry
+}
+
+var errJunk = errors.New("not a list")
+
+func decode(v *fastjson.Value) (inventory, error) {
+	list := v.Get("servers")
+	if list == nil || list.Type() != fastjson.TypeArray {
+		return inventory{}, errJunk
+	}
+	i := inventory{version: v.GetInt64("version"), full: v.GetBool("full")}
+	for _, e := range list.GetArray() {
+		s := entry{
+			id: string(e.GetStringBytes("id")), addr: string(e.GetStringBytes("addr")),
+			zone: string(e.GetStringBytes("zone")), cell: logic.CellID(e.GetInt("cell")),
+			running: string(e.GetStringBytes("state")) == "in_service",
+			weight:  e.GetFloat64("weight"), started: terms.Millis(e, "started_ms"),
+		}
+		if s.id == "" {
+			return inventory{}, errJunk
+		}
+		i.servers = append(i.servers, s)
+	}
+	return i, nil
+}
+
+// lists follows discovery. All but the watch's own goroutine belongs to the loop.
+type lists struct {
+	addr    string
+	zones   *terms.Names
+	version int64
+	current int // number of the watch in force; what an older one still says is stale
+	stop    context.CancelFunc
+	named   map[logic.EndpointID]bool // true: by the last whole list or since
+	addrs   map[logic.EndpointID]bool // had an address once
+}
+
+func newLists(addr string, names *terms.Names) *lists {
+	return &lists{
+		addr: addr, zones: names, stop: func() {}, named: map[logic.EndpointID]bool{},
+		addrs: map[logic.EndpointID]bool{},
+	}
+}
+
+func (d *lists) forgetAll() {
+	for id := range d.named {
+		d.named[id] = false
+	}
+}
+
+func (d *lists) mark(id logic.EndpointID) { d.named[id] = true }
+
+// known tells whether there is an address to send to.
+func (d *lists) known(id logic.EndpointID, addr string) bool {
+	d.addrs[id] = d.addrs[id] || addr != ""
+	return d.addrs[id]
+}
+
+// missing drops what a whole list did not name.
+func (d *lists) missing() (gone []logic.EndpointID) {
+	for id, named := range d.named {
+		if !named {
+			gone = append(gone, id)
+			delete(d.named, id)
+		}
+	}
+	return gone
+}
+
+// watch starts the one watch in place of any before it.
+func (d *lists) watch(ctx context.Context, post func(event)) {
+	d.stop()
+	d.current++
+	number, after := d.current, d.version
+	ctx, d.stop = context.WithCancel(ctx)
+	go func() {
+		err := d.follow(ctx, after, func(i inventory) { post(listing{inventory: i, watch: number}) })
+		if ctx.Err() == nil {
+			post(listLost{number, err})
+		}
+	}()
+}
+
+// follow hands on each line of one watch until it ends; a watch that says nothing for over two beats has ended.
+func (d *lists) follow(ctx context.Context, after int64, each func(inventory)) (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = fmt.Errorf("panic in the watch: %v", fault)
+		}
+	}()
+	conn, err := (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext(ctx, "tcp", d.addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	conn.SetDeadline(time.Now().Add(silence))
+	ask := "/discovery/hosts?watch=1"
+	if after > 0 {
+		ask += "&after=" + strconv.FormatInt(after, 10)
+	}
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", ask, d.addr); err != nil {
+		return err
+	}
+	got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	if got.StatusCode != http.StatusOK {
+		return errors.New(got.Status)
+	}
+	var parser fastjson.Parser
+	lines := bufio.NewScanner(got.Body)
+	lines.Buffer(nil, listMost)
+	for lines.Scan() {
+		conn.SetDeadline(time.Now().Add(silence))
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		v, err := parser.ParseBytes(line)
+		if err != nil {
+			return err
+		}
+		i, err := decode(v)
+		if err != nil {
+			return err
+		}
+		each(i)
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.EOF
+}
--- /dev/null
+++ b/internal/sidecar/loop.go
@@ -0,0 +1,420 @@
+// The loop: one goroutine owns the module, its clock and its timers; sockets reach it through the queue only. It must
+// never wait for a socket, and it decides nothing: it hands events in and carries out what the module asks for.
+package sidecar
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+// answer is what a client gets.
+type answer struct {
+	status    int
+	header    http.Header
+	body      []byte
+	comeBack  logic.Millis
+	exhausted bool // nobody decided in time: the loop's own backstop spoke
+}
+
+// exchange is one in hand. The server's goroutine reads answer; all else belongs to the loop once it is queued.
+type exchange struct {
+	id       logic.ExchangeID
+	product  logic.ProductID
+	tenant   logic.TenantID
+	abandon  logic.Millis
+	request  request
+	answer   chan answer // holds one: the loop never waits for the client
+	answered bool
+	late     bool // its last leg ran out of time
+	out      int
+	legs     []*leg
+}
+
+// event is something that sockets tell the loop.
+type event interface{ happen(l *loop) }
+
+type (
+	arrival   struct{ x *exchange }
+	departure struct{ x *exchange }
+	legOver   struct {
+		x     *exchange
+		n     logic.LegNo
+		reply *reply
+		fault *legError
+	}
+	listing struct {
+		inventory
+		watch    int
+		fromDisk bool
+	}
+	listLost struct {
+		watch int
+		cause error
+	}
+)
+
+// alarm is a timer of the module or, with an exchange, the moment by which that must have its answer.
+type alarm struct {
+	at    logic.Millis
+	order uint64
+	id    logic.TimerID
+	guard *exchange
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int      { return len(a) }
+func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a alarms) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
+}
+func (a *alarms) Push(x any) { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	last := len(*a) - 1
+	x := (*a)[last]
+	*a = (*a)[:last]
+	return x
+}
+
+// rememberedIDs are the ids of finished exchanges, by which one that comes again is known.
+const rememberedIDs = 4096
+
+type loop struct {
+	module    *logic.Balancer
+	queue     chan event
+	started   time.Time
+	startedMs float64
+	now       logic.Millis
+	timers    alarms
+	order     uint64
+	open      map[logic.ExchangeID]*exchange
+	past      map[logic.ExchangeID]bool
+	pastRing  [rememberedIDs]logic.ExchangeID
+	pastNext  int
+	held      atomic.Int64 // exchanges without an answer
+	loaded    atomic.Bool
+	up        *upstream
+	list      *lists
+	counters  *Counters
+	log       *zap.Logger
+	ctx       context.Context
+}
+
+// newLoop starts the module, which may ask for timers and the watch at once; the disk's list comes before all else.
+func newLoop(ctx context.Context, t logic.Terms, known *inventory, up *upstream, d *lists, c *Counters,
+	log *zap.Logger) *loop {
+	l := &loop{
+		queue: make(chan event, 4096), started: time.Now(), open: map[logic.ExchangeID]*exchange{},
+		past: map[logic.ExchangeID]bool{}, up: up, list: d, counters: c, log: log, ctx: ctx,
+	}
+	l.startedMs = float64(l.started.UnixNano()) / 1e6
+	l.now = l.clock()
+	if known != nil {
+		d.version = known.version
+		l.queue <- listing{inventory: *known, fromDisk: true}
+	}
+	l.module = logic.New(t, l, l.now)
+	return l
+}
+
+// clock is Unix time at the start plus monotonic time: a stepped clock moves no timer.
+func (l *loop) clock() logic.Millis { return l.at(time.Now()) }
+
+func (l *loop) at(t time.Time) logic.Millis {
+	return logic.Millis(l.startedMs + float64(t.Sub(l.started))/float64(time.Millisecond))
+}
+
+// run serves the queue and the timers until ctx ends.
+func (l *loop) run() {
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case e := <-l.queue:
+			l.tick()
+			l.guarded(exchangeOf(e), func() { e.happen(l) })
+		case <-wake.C:
+		}
+		l.due()
+		if len(l.timers) > 0 {
+			wake.Reset(max(span(l.timers[0].at-l.clock()), 0))
+		}
+	}
+}
+
+func (l *loop) tick() {
+	l.now = l.clock()
+	l.module.At(l.now)
+}
+
+func (l *loop) due() {
+	l.tick()
+	for len(l.timers) > 0 && l.timers[0].at <= l.now {
+		a := heap.Pop(&l.timers).(alarm)
+		l.guarded(a.guard, func() {
+			if a.guard == nil {
+				l.module.Alarm(a.id)
+			} else {
+				l.overdue(a.guard)
+			}
+		})
+	}
+}
+
+func exchangeOf(e event) *exchange {
+	switch e := e.(type) {
+	case arrival:
+		return e.x
+	case departure:
+		return e.x
+	case legOver:
+		return e.x
+	}
+	return nil
+}
+
+// guarded keeps a panic to the exchange that it came with: the others must still get their answers.
+func (l *loop) guarded(x *exchange, f func()) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			l.counters.panics.Add(1)
+			l.log.Error("panic in the loop", zap.String("fault", fmt.Sprint(fault)), zap.Stack("stack"))
+			if x != nil {
+				l.reply(x, answer{status: http.StatusBadGateway})
+			}
+		}
+	}()
+	f()
+}
+
+// post hands an event to the loop; after its end nobody waits.
+func (l *loop) post(e event) {
+	select {
+	case l.queue <- e:
+	case <-l.ctx.Done():
+	}
+}
+
+// ---- what comes in
+
+func (e arrival) happen(l *loop) {
+	x := e.x
+	if l.open[x.id] != nil || l.past[x.id] {
+		l.counters.badInput.Add(1)
+		x.answer <- answer{status: http.StatusConflict}
+		return
+	}
+	l.counters.taken.Add(1)
+	l.held.Add(1)
+	l.open[x.id] = x
+	l.set(alarm{at: x.abandon, guard: x})
+	l.module.Arrive(x.id, x.product, x.tenant, x.abandon)
+}
+
+func (e departure) happen(l *loop) {
+	if e.x.answered || l.open[e.x.id] != e.x {
+		return
+	}
+	l.counters.left.Add(1)
+	l.conclude(e.x)
+	l.module.Left(e.x.id)
+	l.forget(e.x)
+}
+
+// overdue answers what is still without an answer when its client gives up, so that none is ever lost.
+func (l *loop) overdue(x *exchange) {
+	if x.answered {
+		return
+	}
+	l.counters.overdue.Add(1)
+	l.reply(x, answer{status: http.StatusGatewayTimeout, exhausted: true})
+	l.module.Left(x.id)
+	l.forget(x)
+}
+
+func (e legOver) happen(l *loop) {
+	x, g, outcome := e.x, e.x.legs[e.n], logic.Satisfied
+	if g.collected {
+		return
+	}
+	g.collected = true
+	x.out--
+	defer l.forget(x)
+	if e.fault != nil {
+		outcome = e.fault.outcome
+		l.log.Debug("leg", zap.Error(e.fault), zap.String("addr", g.addr))
+	}
+	l.counters.legs[outcome].Add(1)
+	x.late = outcome == logic.TimedOut
+	if outcome == logic.Satisfied && !x.answered {
+		l.reply(x, answer{status: http.StatusOK, header: e.reply.header, body: e.reply.body})
+	}
+	l.module.Ended(x.id, e.n, outcome, l.now-g.sent, x.answered)
+}
+
+func (e listing) happen(l *loop) {
+	if !e.fromDisk && e.watch != l.list.current {
+		return
+	}
+	if e.full {
+		l.module.ListStarts()
+		l.list.forgetAll()
+	}
+	for _, s := range e.servers {
+		id := logic.EndpointID(s.id)
+		health := logic.NotRunning
+		if s.running && l.list.known(id, s.addr) {
+			health = logic.Running
+		}
+		l.up.list(id, s.addr, health == logic.Running)
+		l.list.mark(id)
+		l.module.Listed(id, health, l.list.zones.Zone([]byte(s.zone)), s.cell, s.weight, s.started)
+	}
+	if e.full {
+		for _, id := range l.list.missing() {
+			l.up.list(id, "", false)
+		}
+	}
+	l.list.version = e.version
+	l.module.ListEnds(e.fromDisk)
+	l.counters.lists.Add(1)
+	l.counters.listVersion.Store(e.version)
+	l.counters.endpoints.Store(int64(len(l.list.named)))
+	l.loaded.Store(true)
+}
+
+func (e listLost) happen(l *loop) {
+	if e.watch != l.list.current {
+		return
+	}
+	l.counters.listLost.Add(1)
+	l.log.Info("watch ended", zap.Error(e.cause))
+	l.module.ListFailed()
+}
+
+// ---- what the module asks for
+
+// Send starts a leg; whatever becomes of it, one legOver comes back.
+func (l *loop) Send(id logic.ExchangeID, to logic.EndpointID, giveUpAfter logic.Millis) {
+	x := l.open[id]
+	if x == nil {
+		return
+	}
+	left := x.abandon - l.now
+	if giveUpAfter == 0 || giveUpAfter > left {
+		giveUpAfter = left
+	}
+	g := &leg{sent: l.now, giveUp: time.Now().Add(span(giveUpAfter)), request: &x.request, to: l.up.find(to)}
+	g.ctx, g.cancel = context.WithCancel(l.ctx)
+	n := logic.LegNo(len(x.legs))
+	x.legs = append(x.legs, g)
+	x.out++
+	over := legOver{x: x, n: n}
+	if g.to == nil || x.answered {
+		over.fault = &legError{outcome: logic.NotSent}
+	} else {
+		g.to.mu.Lock()
+		g.addr = g.to.addr
+		g.to.mu.Unlock()
+	}
+	go func() {
+		defer g.cancel()
+		defer func() {
+			if fault := recover(); fault != nil {
+				l.counters.panics.Add(1)
+				l.log.Error("panic in a leg", zap.String("fault", fmt.Sprint(fault)), zap.Stack("stack"))
+				over.reply, over.fault = nil, &legError{reach: written, outcome: logic.Reset}
+			}
+			l.post(over)
+		}()
+		if over.fault == nil {
+			over.reply, over.fault = l.up.run(g)
+		}
+	}()
+}
+
+func (l *loop) Cancel(id logic.ExchangeID, n logic.LegNo) {
+	if x := l.open[id]; x != nil && int(n) < len(x.legs) {
+		x.legs[n].cancel()
+	}
+}
+
+func (l *loop) Dismiss(id logic.ExchangeID, comeBackAfter logic.Millis) {
+	if x := l.open[id]; x != nil && !x.answered {
+		l.reply(x, answer{status: http.StatusServiceUnavailable, comeBack: comeBackAfter})
+		l.forget(x)
+	}
+}
+
+func (l *loop) Forfeit(id logic.ExchangeID) {
+	if x := l.open[id]; x != nil && !x.answered {
+		status := http.StatusBadGateway
+		if x.late {
+			status = http.StatusGatewayTimeout
+		}
+		l.reply(x, answer{status: status})
+		l.forget(x)
+	}
+}
+
+func (l *loop) Wake(after logic.Millis, t logic.TimerID) { l.set(alarm{at: l.now + after, id: t}) }
+
+func (l *loop) Watch() { l.list.watch(l.ctx, l.post) }
+
+func (l *loop) Note(line string) { l.log.Info(line) }
+
+// ---- its own books
+
+func (l *loop) set(a alarm) {
+	if math.IsNaN(float64(a.at)) {
+		return
+	}
+	l.order++
+	a.order = l.order
+	heap.Push(&l.timers, a)
+}
+
+// reply gives the one answer that an exchange gets.
+func (l *loop) reply(x *exchange, a answer) {
+	if x.answered {
+		return
+	}
+	switch {
+	case a.status == http.StatusOK:
+		l.counters.satisfied.Add(1)
+	case a.status == http.StatusServiceUnavailable:
+		l.counters.dismissed.Add(1)
+	default:
+		l.counters.forfeited.Add(1)
+	}
+	x.answer <- a
+	l.conclude(x)
+}
+
+func (l *loop) conclude(x *exchange) {
+	x.answered = true
+	l.held.Add(-1)
+}
+
+// forget lets go of what is answered and has no leg out, but remembers its id.
+func (l *loop) forget(x *exchange) {
+	if !x.answered || x.out > 0 || l.open[x.id] != x {
+		return
+	}
+	delete(l.open, x.id)
+	delete(l.past, l.pastRing[l.pastNext])
+	l.pastRing[l.pastNext] = x.id
+	l.past[x.id] = true
+	l.pastNext = (l.pastNext + 1) % rememberedIDs
+}
--- /dev/null
+++ b/internal/sidecar/server.go
@@ -0,0 +1,293 @@
+// Server: the application's side. This file owns the listener, the reading of requests into exchanges and the writing
+// of their one answer. It must never answer twice, pass on part of an answer, or choose what becomes of an exchange.
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lynxjunction/lynxjunction/internal/terms"
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+const (
+	headTime   = 5 * time.Second // for a request's head, and for an answer to be taken
+	idleTime   = 5 * time.Minute
+	turnedTime = time.Second  // for the body of a request that is turned away
+	mostWait   = 3600 * 1000. // milliseconds; a client that says it waits longer is mistaken
+	comeBack   = "0.500"      // seconds, where there is no room to ask the module
+)
+
+// front answers clients.
+type front struct {
+	loop     *loop
+	names    *terms.Names
+	products []logic.Product
+	sockets  *sockets
+	counters *Counters
+	log      *zap.Logger
+	ending   atomic.Bool
+	newest   atomic.Int64 // when an exchange was last taken, Unix nanoseconds
+	bodies   atomic.Int64 // bytes of requests in hand
+	bodyRoom int64
+}
+
+// client is one accepted connection.
+type client struct {
+	*net.TCPConn
+	sockets *sockets
+	excess  bool // beyond the limit: read, answered 503 and closed
+	heard   atomic.Bool
+	begun   atomic.Bool
+	closed  atomic.Bool
+}
+
+func (c *client) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		defer c.sockets.give(true)
+	}
+	return c.TCPConn.Close()
+}
+
+// door is the listener with its count of descriptors.
+type door struct {
+	*net.TCPListener
+	sockets *sockets
+}
+
+func (d *door) Accept() (net.Conn, error) {
+	d.sockets.await()
+	conn, err := d.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &client{TCPConn: conn, sockets: d.sockets, excess: !d.sockets.takeClient()}, nil
+}
+
+type clientKey struct{}
+
+// httpServer wires net/http to it.
+func (s *front) httpServer() *http.Server {
+	return &http.Server{
+		Handler: s, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: headMost,
+		ErrorLog: zap.NewStdLog(s.log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, clientKey{}, c)
+		},
+		// Broken framing is answered 400 by net/http without a handler; it is counted here.
+		ConnState: func(c net.Conn, state http.ConnState) {
+			switch k, _ := c.(*client); {
+			case k == nil:
+			case state == http.StateActive:
+				k.heard.Store(true)
+			case state == http.StateIdle:
+				k.heard.Store(false)
+				k.begun.Store(false)
+			case state == http.StateClosed && k.heard.Load() && !k.begun.Load():
+				s.counters.badInput.Add(1)
+			}
+		},
+	}
+}
+
+func (s *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	came := time.Now()
+	k, _ := r.Context().Value(clientKey{}).(*client)
+	if k != nil {
+		k.begun.Store(true)
+	}
+	http.NewResponseController(w).SetWriteDeadline(came.Add(headTime))
+	var x *exchange
+	wrote := false
+	defer func() {
+		if fault := recover(); fault != nil {
+			s.counters.panics.Add(1)
+			s.log.Error("panic at a connection", zap.String("fault", fmt.Sprint(fault)), zap.Stack("stack"))
+			if x != nil {
+				s.loop.post(departure{x})
+			}
+			if wrote {
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	}()
+	if s.ending.Load() || s.sockets.scarce() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.Header.Get("Request-Id") == "" && r.Method == http.MethodGet {
+		switch r.URL.Path {
+		case "/up":
+			if !s.loop.loaded.Load() || s.ending.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			return
+		case "/counters":
+			w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+			s.counters.Print(s.sockets, w)
+			return
+		}
+	}
+	size := max(r.ContentLength, 0)
+	if r.ContentLength < 0 {
+		size = bodyMost
+	}
+	if size <= bodyMost {
+		defer s.bodies.Add(-size)
+		if s.bodies.Add(size) > s.bodyRoom || k != nil && k.excess {
+			s.turnAway(w, r)
+			return
+		}
+	}
+	var status int
+	var why string
+	if x, status, why = s.read(w, r, came); x == nil {
+		s.counters.badInput.Add(1)
+		http.Error(w, why, status)
+		return
+	}
+	s.newest.Store(time.Now().UnixNano())
+	s.loop.post(arrival{x})
+	select {
+	case a := <-x.answer:
+		wrote = true
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(headTime))
+		a.write(w)
+	case <-r.Context().Done():
+		s.loop.post(departure{x})
+	}
+}
+
+// turnAway answers what there is no room to take in: read first, or the client would find its connection broken.
+func (s *front) turnAway(w http.ResponseWriter, r *http.Request) {
+	s.counters.turnedAway.Add(1)
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(turnedTime))
+	io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost))
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", comeBack)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// dropped are headers of one connection only, and those that this program writes itself.
+var dropped = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true, "Te": true,
+	"Trailer": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Request-Timeout": true,
+}
+
+// read makes an exchange of a request, or says why it is none.
+func (s *front) read(w http.ResponseWriter, r *http.Request, came time.Time) (x *exchange, status int, why string) {
+	id, wait := r.Header.Values("Request-Id"), duration(r.Header.Values("Request-Timeout"))
+	switch {
+	case r.Method != http.MethodGet && r.Method != http.MethodPost:
+		return nil, http.StatusMethodNotAllowed, "GET and POST only"
+	case len(id) != 1 || id[0] == "":
+		return nil, http.StatusBadRequest, "one Request-Id is needed"
+	case wait <= 0:
+		return nil, http.StatusBadRequest, "one Request-Timeout is needed, such as 480m or 480000u"
+	case r.ContentLength > bodyMost:
+		return nil, http.StatusRequestEntityTooLarge, "body too long"
+	}
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(came.Add(span(wait)))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+	control.SetReadDeadline(time.Time{})
+	var long *http.MaxBytesError
+	var slow net.Error
+	switch {
+	case errors.As(err, &long):
+		return nil, http.StatusRequestEntityTooLarge, "body too long"
+	case errors.As(err, &slow) && slow.Timeout():
+		return nil, http.StatusRequestTimeout, "the body did not come in time"
+	case err != nil:
+		return nil, http.StatusBadRequest, "broken body"
+	}
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	}
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, target, r.Host)
+	for _, list := range r.Header.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			r.Header.Del(strings.TrimSpace(name))
+		}
+	}
+	r.Header.WriteSubset(&head, dropped)
+	if len(body) > 0 || r.Method == http.MethodPost {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
+	}
+	return &exchange{
+		id: logic.ExchangeID(id[0]), product: s.product(r), tenant: s.names.Tenant([]byte(r.Header.Get("Tenant"))),
+		abandon: s.loop.at(came) + wait, answer: make(chan answer, 1),
+		request: request{method: r.Method, head: head.Bytes(), body: body},
+	}, 0, ""
+}
+
+// product is unknown, and so single-use, unless class, path and method agree: what is repeated by mistake has two effects.
+func (s *front) product(r *http.Request) logic.ProductID {
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	class := r.Header.Get("Request-Class")
+	if class == "" {
+		class = first
+	}
+	p := s.names.Product([]byte(class))
+	if p < 0 || class != first {
+		return -1
+	}
+	switch effect := s.products[p].Effect; {
+	case effect == logic.Replayable && r.Method != http.MethodGet,
+		effect == logic.Referenced && r.Header.Get("Idempotency-Key") == "":
+		return -1
+	}
+	return p
+}
+
+// duration reads a number with its unit; 0 stands for anything that is none.
+func duration(values []string) logic.Millis {
+	if len(values) != 1 || len(values[0]) < 2 {
+		return 0
+	}
+	last := len(values[0]) - 1
+	n, err := strconv.ParseFloat(values[0][:last], 64)
+	if values[0][last] == 'u' {
+		n /= 1000
+	} else if values[0][last] != 'm' {
+		return 0
+	}
+	if err != nil || math.IsNaN(n) || n <= 0 || n > mostWait {
+		return 0
+	}
+	return logic.Millis(n)
+}
+
+// write sends an answer off, whole.
+func (a answer) write(w http.ResponseWriter) {
+	h := w.Header()
+	for name, values := range a.header {
+		if !dropped[name] && name != "Server-Load" && name != "Not-Started" {
+			h[name] = values
+		}
+	}
+	if a.status == http.StatusOK && h["Content-Type"] == nil {
+		h["Content-Type"] = nil // unchanged: no type is guessed
+	}
+	if a.comeBack > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(float64(a.comeBack)/1000, 'f', 3, 64))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	w.Write(a.body)
+}
--- /dev/null
+++ b/internal/sidecar/start.go
@@ -0,0 +1,195 @@
+// Start: what a sidecar is told when it starts, and its life from there to SIGTERM. This file owns the reading of that
+// text, the limits set on the process and the order in which the parts start and end. It must never leave an exchange
+// behind at its end.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+	"go.uber.org/zap"
+
+	"github.com/lynxjunction/lynxjunction/internal/terms"
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+const (
+	acceptLast = 650 * time.Millisecond // after SIGTERM connections come for up to 0.4 s
+	quietLast  = 300 * time.Millisecond // without a new exchange, before kept connections are closed
+	endMargin  = 400 * time.Millisecond // beyond the longest abandon time: less than SIGKILL leaves
+)
+
+// Start is all that a sidecar is told.
+type Start struct {
+	Name, Listen, Discovery string
+	Cores                   float64
+	MemoryMB, Sockets       int
+	terms                   logic.Terms
+	names                   *terms.Names
+	known                   *inventory
+	connect, idleClose      logic.Millis
+}
+
+// Read decodes the file at path.
+func Read(path string) (*Start, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s, err := Decode(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Decode checks what a sidecar cannot do without.
+func Decode(text []byte) (*Start, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("not JSON: %w", err)
+	}
+	seed, err := strconv.ParseUint(string(v.GetStringBytes("seed")), 16, 64)
+	if err != nil {
+		return nil, errors.New("seed: hex digits are needed")
+	}
+	settings, limits := v.Get("settings"), v.Get("limits")
+	if len(settings.GetArray("products")) == 0 {
+		return nil, errors.New("settings: no products")
+	}
+	s := &Start{
+		Name: string(v.GetStringBytes("name")), Listen: string(v.GetStringBytes("listen")),
+		Discovery: string(v.GetStringBytes("discovery")), Cores: limits.GetFloat64("cores"),
+		MemoryMB: limits.GetInt("memory_mb"), Sockets: limits.GetInt("sockets"),
+		connect:   terms.Millis(settings.Get("allowed"), "connect-timeout"),
+		idleClose: terms.Millis(settings.Get("allowed"), "idle-close"),
+	}
+	for name, addr := range map[string]string{"listen": s.Listen, "discovery": s.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	if s.Cores < 0 || s.MemoryMB < 0 || s.Sockets < 0 {
+		return nil, errors.New("limits: below 0")
+	}
+	if s.Sockets == 0 {
+		s.Sockets = 1024
+	}
+	if s.Sockets < 2*fixedSockets {
+		return nil, fmt.Errorf("limits: %d sockets are needed", 2*fixedSockets)
+	}
+	if s.MemoryMB == 0 {
+		s.MemoryMB = 192
+	}
+	s.terms, s.names = terms.From(settings, seed)
+	s.terms.MustAsk = true // on sockets a list comes to those who watch
+	if s.terms.AskWithin <= 0 {
+		s.terms.AskWithin = 10000
+	}
+	if k := v.Get("known"); k != nil && k.Type() != fastjson.TypeNull {
+		known, err := decode(k)
+		if err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+		if known.full = true; len(known.servers) > 0 {
+			s.known = &known
+		}
+	}
+	return s, nil
+}
+
+func (s *Start) String() string {
+	known := 0
+	if s.known != nil {
+		known = len(s.known.servers)
+	}
+	return fmt.Sprintf("%s listens on %s, asks %s; %d products, %d endpoints known; %g cores, %d MB, %d sockets",
+		s.Name, s.Listen, s.Discovery, len(s.terms.Products), known, s.Cores, s.MemoryMB, s.Sockets)
+}
+
+// limit keeps the process within what it is given.
+func (s *Start) limit() {
+	runtime.GOMAXPROCS(max(int(math.Ceil(s.Cores)), 1))
+	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 7 / 10)
+	debug.SetGCPercent(200)
+}
+
+// Serve runs until ctx ends (SIGTERM) and all that was taken is answered.
+func (s *Start) Serve(ctx context.Context, log *zap.Logger) error {
+	s.limit()
+	ln, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return err
+	}
+	counters, books := &Counters{}, newSockets(s.Sockets)
+	up := newUpstream(s.connect, s.idleClose, books, counters)
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	l := newLoop(life, s.terms, s.known, up, newLists(s.Discovery, s.names), counters, log)
+	srv := &front{
+		loop: l, names: s.names, products: s.terms.Products, sockets: books, counters: counters, log: log,
+		bodyRoom: int64(s.MemoryMB) << 20 / 4,
+	}
+	web := srv.httpServer()
+	go l.run()
+	go sweeping(life, up)
+	failed := make(chan error, 1)
+	go func() { failed <- web.Serve(&door{ln.(*net.TCPListener), books}) }()
+	log.Info("serving", zap.String("name", s.Name), zap.String("listen", ln.Addr().String()))
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		s.finish(srv, web, ln)
+	}
+	log.Info("ends", counters.fields(books)...)
+	return err
+}
+
+func sweeping(ctx context.Context, up *upstream) {
+	for beat := time.NewTicker(time.Second); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-beat.C:
+			up.sweep(now)
+		}
+	}
+}
+
+// finish accepts for as long as connections come, answers what is held, and closes kept connections once none is used.
+func (s *Start) finish(srv *front, web *http.Server, ln net.Listener) {
+	began := time.Now()
+	longest := time.Duration(0)
+	for _, p := range s.terms.Products {
+		longest = max(longest, span(p.Abandon))
+	}
+	srv.ending.Store(true)
+	srv.log.Info("ending", zap.Int64("held", srv.loop.held.Load()))
+	accepting := true
+	for beat := time.NewTicker(10 * time.Millisecond); ; <-beat.C {
+		gone := time.Since(began)
+		if accepting && gone > acceptLast {
+			accepting = false
+			ln.Close()
+		}
+		quiet := time.Since(time.Unix(0, srv.newest.Load())) > quietLast
+		if gone > acceptLast && quiet && srv.loop.held.Load() == 0 || gone > longest+endMargin {
+			break
+		}
+	}
+	ctx, done := context.WithTimeout(context.Background(), endMargin/2)
+	defer done()
+	if web.Shutdown(ctx) != nil {
+		web.Close()
+	}
+}
--- /dev/null
+++ b/internal/sidecar/upstream.go
@@ -0,0 +1,384 @@
+// Upstream: legs on the wire. This file owns the connections to endpoints, their idle pools, and what each leg's error
+// says of how far it had come. It must never send a request twice, choose an endpoint, or pass on an answer that is
+// not whole.
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+const (
+	bodyMost    = 64 << 10
+	headMost    = 16 << 10
+	retireShare = 0.6 // of idle-close: no connection older than that is used again
+)
+
+// reach is how far a leg came.
+type reach int
+
+const (
+	notDialled reach = iota
+	dialling
+	writing // up to here the request's last byte was not written: the endpoint never began it
+	written
+	answered
+)
+
+// legError is why a leg was not satisfied, and how far it had come by then.
+type legError struct {
+	reach   reach
+	outcome logic.Outcome
+	cause   error
+}
+
+func (e *legError) Error() string {
+	return fmt.Sprintf("%s, reach %d: %v", outcomeNames[e.outcome], e.reach, e.cause)
+}
+
+func (e *legError) Unwrap() error { return e.cause }
+
+// failed makes a legError from an error of the network.
+func failed(at reach, cause error, cancelled bool) *legError {
+	e := &legError{reach: at, outcome: logic.Reset, cause: cause}
+	switch {
+	case cancelled:
+		e.outcome = logic.Cancelled
+	case at <= writing:
+		e.outcome = logic.NoConnection
+	case errors.Is(cause, os.ErrDeadlineExceeded):
+		e.outcome = logic.TimedOut
+	}
+	return e
+}
+
+// reply is an endpoint's whole 200.
+type reply struct {
+	header http.Header
+	body   []byte
+}
+
+// leg is one request on its way to one endpoint.
+type leg struct {
+	to        *endpoint
+	addr      string
+	request   *request
+	sent      logic.Millis
+	giveUp    time.Time
+	ctx       context.Context
+	cancel    context.CancelFunc
+	collected bool // its outcome was handed to the module
+}
+
+// request is an exchange's request as endpoints get it.
+type request struct {
+	method string
+	head   []byte // request line and headers, but for the time left and the empty line
+	body   []byte
+}
+
+// endpoint is where one server listens, and what connections to it are idle.
+type endpoint struct {
+	shut atomic.Bool // it drains or is gone: no first byte is written to it
+	mu   sync.Mutex
+	addr string
+	idle []*link // the one used last at the end
+}
+
+// link is one connection to an endpoint.
+type link struct {
+	conn   net.Conn
+	addr   string
+	most   io.LimitedReader // bounds an endpoint that never ends its answer
+	reader *bufio.Reader
+	since  time.Time
+}
+
+// upstream holds all endpoints.
+type upstream struct {
+	mu        sync.Mutex
+	endpoints map[logic.EndpointID]*endpoint
+	dialTime  time.Duration
+	retire    time.Duration
+	sockets   *sockets
+	counters  *Counters
+	dial      func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+func newUpstream(connect, idleClose logic.Millis, s *sockets, c *Counters) *upstream {
+	u := &upstream{
+		endpoints: map[logic.EndpointID]*endpoint{}, dialTime: span(connect), retire: span(idleClose * retireShare),
+		sockets: s, counters: c, dial: (&net.Dialer{KeepAlive: -1}).DialContext,
+	}
+	s.dropIdle = u.dropIdle
+	return u
+}
+
+func span(m logic.Millis) time.Duration { return time.Duration(float64(m) * float64(time.Millisecond)) }
+
+// list takes an endpoint's place and whether it may be sent anything. An address is a detail that may change.
+func (u *upstream) list(id logic.EndpointID, addr string, running bool) {
+	u.mu.Lock()
+	e := u.endpoints[id]
+	if e == nil {
+		e = &endpoint{}
+		u.endpoints[id] = e
+	}
+	u.mu.Unlock()
+	e.shut.Store(!running)
+	e.mu.Lock()
+	var dropped []*link
+	if !running || addr != "" && addr != e.addr {
+		dropped, e.idle = e.idle, nil
+	}
+	if addr != "" {
+		e.addr = addr
+	}
+	e.mu.Unlock()
+	u.close(dropped...)
+}
+
+func (u *upstream) find(id logic.EndpointID) *endpoint {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.endpoints[id]
+}
+
+func (u *upstream) close(links ...*link) {
+	for _, k := range links {
+		k.conn.Close()
+		u.sockets.give(false)
+	}
+}
+
+// all is a snapshot, so that no lock is held while connections are closed.
+func (u *upstream) all() []*endpoint {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	all := make([]*endpoint, 0, len(u.endpoints))
+	for _, e := range u.endpoints {
+		all = append(all, e)
+	}
+	return all
+}
+
+// dropIdle makes room for another connection.
+func (u *upstream) dropIdle() bool {
+	for _, e := range u.all() {
+		e.mu.Lock()
+		if len(e.idle) > 0 {
+			k := e.idle[0]
+			e.idle = e.idle[1:]
+			e.mu.Unlock()
+			u.close(k)
+			return true
+		}
+		e.mu.Unlock()
+	}
+	return false
+}
+
+// sweep closes what is idle for too long or was closed by its peer.
+func (u *upstream) sweep(now time.Time) {
+	for _, e := range u.all() {
+		e.mu.Lock()
+		kept, dropped := e.idle[:0], []*link(nil)
+		for _, k := range e.idle {
+			if now.Sub(k.since) > u.retire || !k.quiet() {
+				dropped = append(dropped, k)
+			} else {
+				kept = append(kept, k)
+			}
+		}
+		e.idle = kept
+		e.mu.Unlock()
+		u.counters.retired.Add(int64(len(dropped)))
+		u.close(dropped...)
+	}
+}
+
+// quiet tells that nothing has come on an idle connection: neither its end nor bytes that nobody asked for.
+func (k *link) quiet() bool {
+	s, ok := k.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = e == syscall.EAGAIN
+		return true
+	})
+	return quiet && err == nil
+}
+
+// connect takes the idle connection used last, or opens one.
+func (u *upstream) connect(g *leg) (*link, *legError) {
+	for {
+		g.to.mu.Lock()
+		last := len(g.to.idle) - 1
+		if last < 0 {
+			g.to.mu.Unlock()
+			break
+		}
+		k := g.to.idle[last]
+		g.to.idle = g.to.idle[:last]
+		g.to.mu.Unlock()
+		if k.addr == g.addr && time.Since(k.since) < u.retire && k.quiet() {
+			u.counters.reused.Add(1)
+			return k, nil
+		}
+		u.counters.retired.Add(1)
+		u.close(k)
+	}
+	if !u.sockets.takeUpstream() {
+		return nil, failed(notDialled, errors.New("no descriptor left"), false)
+	}
+	u.counters.dialled.Add(1)
+	until := g.giveUp
+	if u.dialTime > 0 {
+		if d := time.Now().Add(u.dialTime); d.Before(until) {
+			until = d
+		}
+	}
+	ctx, done := context.WithDeadline(g.ctx, until)
+	defer done()
+	conn, err := u.dial(ctx, "tcp", g.addr)
+	if err != nil {
+		u.sockets.give(false)
+		return nil, failed(dialling, err, g.ctx.Err() != nil)
+	}
+	k := &link{conn: conn, addr: g.addr, most: io.LimitedReader{R: conn}}
+	k.reader = bufio.NewReader(&k.most)
+	return k, nil
+}
+
+// run carries one leg from its first byte to its end. Its request leaves at most once.
+func (u *upstream) run(g *leg) (r *reply, fault *legError) {
+	k, fault := u.connect(g)
+	if fault != nil {
+		return nil, fault
+	}
+	reusable := false
+	defer func() {
+		if !reusable || !u.keep(g.to, k) {
+			u.close(k)
+		}
+	}()
+	k.conn.SetDeadline(g.giveUp)
+	stop := context.AfterFunc(g.ctx, func() { k.conn.SetDeadline(time.Unix(1, 0)) })
+	text := make([]byte, 0, len(g.request.head)+len(g.request.body)+64)
+	text = append(text, g.request.head...)
+	text = append(text, "Request-Timeout: "...)
+	text = strconv.AppendFloat(text, max(float64(time.Until(g.giveUp))/float64(time.Millisecond), 0), 'f', 3, 64)
+	text = append(text, "m\r\n\r\n"...)
+	text = append(text, g.request.body...)
+	// A drain holds for a leg that was still dialling when it was told: the first byte counts.
+	if g.to.shut.Load() || g.ctx.Err() != nil {
+		reusable = stop() && !g.to.shut.Load()
+		return nil, failed(writing, errors.New("drains, or called off, before the first byte"), g.ctx.Err() != nil)
+	}
+	if _, err := k.conn.Write(text); err != nil {
+		stop()
+		return nil, failed(writing, err, g.ctx.Err() != nil)
+	}
+	r, keepOpen, fault := k.read(g)
+	// A connection whose leg was called off or timed out may still carry the late answer: it is not used again.
+	reusable = stop() && keepOpen
+	if fault != nil && fault.cause == errUnframed {
+		u.counters.unframed.Add(1)
+	}
+	return r, fault
+}
+
+var (
+	errUnframed = errors.New("an answer that ends with its connection can't be told from a broken one")
+	errTooLong  = errors.New("body too long")
+)
+
+// read takes one answer whole. Only the endpoint's word says that a request never ran.
+func (k *link) read(g *leg) (r *reply, keepOpen bool, fault *legError) {
+	odd := func(cause error) *legError { return &legError{reach: answered, outcome: logic.Errored, cause: cause} }
+	var got *http.Response
+	for {
+		k.most.N = headMost + bodyMost
+		var err error
+		got, err = http.ReadResponse(k.reader, &http.Request{Method: g.request.method})
+		if err != nil {
+			var broken net.Error
+			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken) {
+				return nil, false, failed(written, err, g.ctx.Err() != nil)
+			}
+			return nil, false, odd(err)
+		}
+		if got.StatusCode >= 200 {
+			break
+		}
+	}
+	body, err := readBody(got)
+	switch {
+	case err == errTooLong:
+		return nil, false, odd(err)
+	case err != nil && got.StatusCode == http.StatusOK:
+		return nil, false, failed(written, err, g.ctx.Err() != nil)
+	}
+	keepOpen = err == nil && !got.Close && k.reader.Buffered() == 0
+	switch s := got.StatusCode; {
+	case s == http.StatusOK:
+		return &reply{got.Header, body}, keepOpen, nil
+	case (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) && got.Header.Get("Not-Started") == "1":
+		return nil, keepOpen, &legError{reach: answered, outcome: logic.Full, cause: errors.New(got.Status)}
+	default:
+		return nil, keepOpen, odd(errors.New(got.Status))
+	}
+}
+
+func readBody(got *http.Response) ([]byte, error) {
+	if got.ContentLength > bodyMost {
+		return nil, errTooLong
+	}
+	var b bytes.Buffer
+	if got.ContentLength > 0 {
+		b.Grow(int(got.ContentLength) + bytes.MinRead)
+	}
+	n, err := b.ReadFrom(io.LimitReader(got.Body, bodyMost+1))
+	switch {
+	case err == nil && n > bodyMost:
+		err = errTooLong
+	case err == nil && got.ContentLength < 0 && len(got.TransferEncoding) == 0:
+		err = errUnframed
+	}
+	return b.Bytes(), err
+}
+
+// keep puts a connection back, unless its endpoint has left or moved meanwhile.
+func (u *upstream) keep(e *endpoint, k *link) bool {
+	k.conn.SetDeadline(time.Time{})
+	k.since = time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.shut.Load() || k.addr != e.addr {
+		return false
+	}
+	e.idle = append(e.idle, k)
+	return true
+}
