--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -68,6 +68,7 @@
 // lists follows discovery. All but the watch's own goroutine belongs to the loop.
 type lists struct {
 	addr    string
+	silence time.Duration
 	zones   *terms.Names
 	version int64
 	current int // number of the watch in force; what an older one still says is stale
@@ -76,9 +77,9 @@
 	addrs   map[logic.EndpointID]bool // had an address once
 }
 
-func newLists(addr string, names *terms.Names) *lists {
+func newLists(addr string, silence time.Duration, names *terms.Names) *lists {
 	return &lists{
-		addr: addr, zones: names, stop: func() {}, named: map[logic.EndpointID]bool{},
+		addr: addr, silence: silence, zones: names, stop: func() {}, named: map[logic.EndpointID]bool{},
 		addrs: map[logic.EndpointID]bool{},
 	}
 }
@@ -129,13 +130,13 @@
 			err = fmt.Errorf("panic in the watch: %v", fault)
 		}
 	}()
-	conn, err := (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext(ctx, "tcp", d.addr)
+	conn, err := (&net.Dialer{Timeout: d.silence, KeepAlive: -1}).DialContext(ctx, "tcp", d.addr)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(silence))
+	conn.SetDeadline(time.Now().Add(d.silence))
 	ask := "/discovery/hosts?watch=1"
 	if after > 0 {
 		ask += "&after=" + strconv.FormatInt(after, 10)
@@ -154,7 +155,7 @@
 	lines := bufio.NewScanner(got.Body)
 	lines.Buffer(nil, listMost)
 	for lines.Scan() {
-		conn.SetDeadline(time.Now().Add(silence))
+		conn.SetDeadline(time.Now().Add(d.silence))
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -38,9 +38,9 @@
 	sockets  *sockets
 	counters *Counters
 	log      *zap.Logger
-	ending   atomic.Bool
-	newest   atomic.Int64 // when an exchange was last taken, Unix nanoseconds
-	bodies   atomic.Int64 // bytes of requests in hand
+	until    atomic.Pointer[time.Time] // once ending: what may wait longer is not taken any more
+	newest   atomic.Int64              // when an exchange was last taken, nanoseconds after the loop started
+	bodies   atomic.Int64              // bytes of requests in hand
 	bodyRoom int64
 }
 
@@ -125,13 +125,13 @@
 			w.WriteHeader(http.StatusBadGateway)
 		}
 	}()
-	if s.ending.Load() || s.sockets.scarce() {
+	if s.until.Load() != nil || s.sockets.scarce() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.Header.Get("Request-Id") == "" && r.Method == http.MethodGet {
 		switch r.URL.Path {
 		case "/up":
-			if !s.loop.loaded.Load() || s.ending.Load() {
+			if !s.loop.loaded.Load() || s.until.Load() != nil {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
 			return
@@ -159,7 +159,11 @@
 		http.Error(w, why, status)
 		return
 	}
-	s.newest.Store(time.Now().UnixNano())
+	if end := s.until.Load(); end != nil && x.abandon > s.loop.at(*end) {
+		s.turnAway(w, r)
+		return
+	}
+	s.newest.Store(int64(time.Since(s.loop.started)))
 	s.loop.post(arrival{x})
 	select {
 	case a := <-x.answer:
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,351 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+const startText = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",` +
+	`"limits":{"cores":1.0,"memory_mb":192,"sockets":%SOCKETS%},"known":%KNOWN%,"settings":{"fleet-size":1,"tick":1.0,` +
+	`"registry-mode":"on_request","allowed":{"max-legs":3,"may-cancel":true,"second-copies":true,"retry-after":true,` +
+	`"max-retry-after":700.0,"connect-timeout":250.0,"idle-close":15000.0},"guarantees":{"ask-within":1000.0},"products":[` +
+	`{"name":"look","effect":"retryable","expected-time":500.0,"abandon-time":1000.0,"value":1.0,"overdue-value":0.5},` +
+	`{"name":"buy","effect":"fragile","expected-time":500.0,"abandon-time":1000.0,"value":1.0,"overdue-value":0.5},` +
+	`{"name":"save","effect":"dedup","dedup-scope":"all","key-ttl":9000.0,"expected-time":500.0,"abandon-time":1000.0,` +
+	`"value":1.0,"overdue-value":0.5}]}}`
+
+// running is one sidecar in this process, with the discovery that it asks.
+type running struct {
+	*testing.T
+	addr  string
+	loop  *loop
+	front *front
+	stop  context.CancelFunc // SIGTERM
+	ended chan error
+}
+
+func listText(version int, full bool, entries ...string) string {
+	return fmt.Sprintf(`{"version":%d,"full":%t,"servers":[%s]}`, version, full, strings.Join(entries, ","))
+}
+
+func entryText(id, addr, state string) string {
+	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"a","cell":1,"state":%q,"weight":1.0,"started_ms":0}`, id, addr, state)
+}
+
+func known(endpoints ...net.Listener) string {
+	entries := []string{}
+	for n, e := range endpoints {
+		entries = append(entries, entryText(fmt.Sprint("s", n), e.Addr().String(), "in_service"))
+	}
+	return listText(1, true, entries...)
+}
+
+func begin(t *testing.T, list string, change func(*Start)) *running {
+	text := strings.NewReplacer("%KNOWN%", list, "%SOCKETS%", "1024").Replace(startText)
+	s, err := Decode([]byte(text))
+	require.NoError(t, err)
+	if change != nil {
+		change(s)
+	}
+	ln, err := net.Listen("tcp", s.Listen)
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{T: t, addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1)}
+	life, end := context.WithCancel(context.Background())
+	t.Cleanup(end)
+	r.front = s.assemble(life, zap.NewNop())
+	r.loop = r.front.loop
+	go func() { r.ended <- s.serve(ctx, r.front, ln.(*net.TCPListener)) }()
+	t.Cleanup(func() {
+		stop()
+		select {
+		case <-r.ended:
+		case <-time.After(10 * time.Second):
+			t.Error("did not end")
+		}
+	})
+	return r
+}
+
+// ask writes one request on a new connection; more headers go into extra.
+func ask(id, method, path, extra string) string {
+	class, _, _ := strings.Cut(path, "/")
+	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Class: %s\r\n"+
+		"Request-Timeout: 900m\r\n%s\r\n", method, path, id, class, extra)
+}
+
+func (r *running) dial() net.Conn {
+	c, err := net.Dial("tcp", r.addr)
+	require.NoError(r, err)
+	r.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c
+}
+
+// exchange writes text on c and reads an answer and its body; a nil answer is none.
+func exchangeOn(c net.Conn, text string) (*http.Response, string) {
+	c.Write([]byte(text))
+	got, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, err.Error()
+	}
+	body, _ := io.ReadAll(got.Body)
+	return got, string(body)
+}
+
+func (r *running) status(text string) int {
+	got, _ := exchangeOn(r.dial(), text)
+	if got == nil {
+		return 0
+	}
+	return got.StatusCode
+}
+
+// What an endpoint's failure becomes for the client, by what may run again.
+func TestAnswers(t *testing.T) {
+	const head, none = "HTTP/1.1 ", "Content-Length: 0\r\n\r\n"
+	const key = "Idempotency-Key: k\r\nContent-Length: 0\r\n"
+	full, oops := say(head+"503 Full\r\nNot-Started: 1\r\n"+none, true), say(head+"500 Oops\r\n"+none, true)
+	busy := say(head+"503 Busy\r\n"+none, true)
+	for _, c := range []struct {
+		name, request string
+		script        func(net.Conn, *http.Request) bool
+		status        int
+		legs          int64 // at the least one, at the most
+	}{
+		{"satisfied", ask("1", "GET", "look/x?y=%20z", ""), say(fine, true), 200, 1},
+		{"full proves that nothing ran", ask("1", "POST", "buy/x", "Content-Length: 0\r\n"), full, 503, 3},
+		{"single-use may have run", ask("1", "POST", "buy/x", "Content-Length: 0\r\n"), oops, 502, 1},
+		{"an endpoint's own 503 is no dismissal", ask("1", "POST", "buy/x", "Content-Length: 0\r\n"), busy, 502, 1},
+		{"reset", ask("1", "POST", "buy/x", "Content-Length: 0\r\n"), hangUp, 502, 1},
+		{"silent to the end", ask("1", "POST", "buy/x", "Content-Length: 0\r\n"), silent, 504, 1},
+		{"replayable is tried again", ask("1", "GET", "look/x", ""), oops, 503, 3},
+		{"referenced is tried again", ask("1", "POST", "save/x", key), oops, 503, 3},
+		{"referenced without its mark", ask("1", "POST", "save/x", "Content-Length: 0\r\n"), oops, 502, 1},
+		{"replayable by name, not by method", ask("1", "POST", "look/x", "Content-Length: 0\r\n"), oops, 502, 1},
+		{"unknown product", ask("1", "POST", "sell/x", key), oops, 502, 1},
+		{"class and path differ", strings.Replace(ask("1", "GET", "look/x", ""), "GET /look", "GET /buy", 1), oops, 502, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStandIn(t, c.script)
+			r := begin(t, known(s, s, s, s), nil)
+			began := time.Now()
+			got, body := exchangeOn(r.dial(), c.request)
+			require.NotNil(t, got, body)
+			assert.Equal(t, c.status, got.StatusCode)
+			assert.Less(t, time.Since(began), 970*time.Millisecond, "in time")
+			assert.LessOrEqual(t, s.requests.Load(), c.legs)
+			seen := <-s.seen
+			assert.Equal(t, "1", seen.Header.Get("Request-Id"))
+			assert.True(t, strings.HasPrefix(c.request, seen.Method+" "+seen.RequestURI+" "), "target unchanged")
+			switch c.status {
+			case 200:
+				assert.Equal(t, "hello", body)
+				assert.Empty(t, got.Header["Server-Load"])
+			case 503:
+				assert.Regexp(t, `^0\.[0-9]{3}$`, got.Header.Get("Retry-After"))
+			default:
+				assert.Empty(t, got.Header["Retry-After"])
+			}
+		})
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	s := newStandIn(t, say(fine, true))
+	r := begin(t, known(s), nil)
+	big := strings.Repeat("x", bodyMost+1)
+	chunked := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n", len(big), big)
+	cases := []struct {
+		name, request string
+		status        int
+	}{
+		{"no id", strings.Replace(ask("", "GET", "look", ""), "Request-Id: \r\n", "", 1), 400},
+		{"empty id", ask("", "GET", "look", ""), 400},
+		{"two ids", ask("1", "GET", "look", "Request-Id: 2\r\n"), 400},
+		{"no timeout", strings.Replace(ask("1", "GET", "look", ""), "Request-Timeout", "Timeout", 1), 400},
+		{"timeout without unit", strings.Replace(ask("1", "GET", "look", ""), "900m", "900", 1), 400},
+		{"timeout below 0", strings.Replace(ask("1", "GET", "look", ""), "900m", "-900m", 1), 400},
+		{"no number", strings.Replace(ask("1", "GET", "look", ""), "900m", "NaNm", 1), 400},
+		{"endless", strings.Replace(ask("1", "GET", "look", ""), "900m", "Infm", 1), 400},
+		{"other method", ask("1", "DELETE", "look", ""), 405},
+		{"long body", ask("1", "POST", "buy", fmt.Sprintf("Content-Length: %d\r\n", bodyMost+1)), 413},
+		{"long body in chunks", strings.TrimSuffix(ask("1", "POST", "buy", chunked), "\r\n"), 413},
+		{"long head", ask("1", "GET", "look", "A: "+big+"\r\n"), 431},
+		{"broken chunks", ask("1", "POST", "buy", "Transfer-Encoding: chunked\r\n\r\nxyz\r\n"), 400},
+		{"two lengths", ask("1", "POST", "buy", "Content-Length: 1\r\nContent-Length: 2\r\n"), 400},
+		{"no HTTP", "hello\r\n\r\n", 400},
+		{"body does not come", strings.Replace(ask("1", "POST", "buy", "Content-Length: 5\r\n"), "900m", "50m", 1), 408},
+	}
+	for _, c := range cases {
+		began := time.Now()
+		assert.Equal(t, c.status, r.status(c.request), c.name)
+		assert.Less(t, time.Since(began), 5*time.Second, c.name)
+	}
+	assert.Eventually(t, func() bool { return r.front.counters.badInput.Load() == int64(len(cases)) },
+		5*time.Second, time.Millisecond, "each is counted")
+	assert.Zero(t, s.requests.Load())
+	assert.Zero(t, r.front.counters.taken.Load())
+}
+
+// The same id twice would have its effect twice.
+func TestDuplicateID(t *testing.T) {
+	free := make(chan bool)
+	s := newStandIn(t, func(c net.Conn, _ *http.Request) bool {
+		<-free
+		c.Write([]byte(fine))
+		return true
+	})
+	r := begin(t, known(s), nil)
+	text := ask("7", "POST", "buy", "Content-Length: 0\r\n")
+	first := r.dial()
+	first.Write([]byte(text))
+	<-s.seen
+	assert.Equal(t, 409, r.status(text), "while the first is in hand")
+	close(free)
+	got, _ := exchangeOn(first, "")
+	assert.Equal(t, 200, got.StatusCode)
+	assert.Equal(t, 409, r.status(text), "after its answer")
+	assert.EqualValues(t, 1, s.requests.Load())
+}
+
+// A client that has gone wants no answer; its legs are called off, so that endpoints don't work for nobody.
+func TestClientLeaves(t *testing.T) {
+	ended := make(chan bool)
+	s := newStandIn(t, func(c net.Conn, r *http.Request) bool {
+		silent(c, r)
+		close(ended)
+		return false
+	})
+	r := begin(t, known(s), nil)
+	c := r.dial()
+	c.Write([]byte(strings.Replace(ask("1", "GET", "look", ""), "900m", "60000m", 1)))
+	<-s.seen
+	c.Close()
+	<-ended
+	assert.EqualValues(t, 1, r.front.counters.left.Load())
+	assert.Eventually(t, func() bool { return r.front.counters.legs[logic.Cancelled].Load() == 1 },
+		5*time.Second, time.Millisecond)
+}
+
+func TestReadiness(t *testing.T) {
+	s := newStandIn(t, say(fine, true))
+	r := begin(t, "null", nil)
+	const up = "GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
+	assert.Equal(t, 503, r.status(up), "without a list")
+	assert.Equal(t, 503, r.status(ask("1", "POST", "buy", "Content-Length: 0\r\n")), "nowhere to send it")
+	i := inventory{version: 1, full: true, servers: []entry{{id: "s", addr: s.Addr().String(), running: true}}}
+	r.loop.post(listing{inventory: i, fromDisk: true})
+	assert.Equal(t, 200, r.status(ask("2", "POST", "buy", "Content-Length: 0\r\n")))
+	assert.Equal(t, 200, r.status(up))
+	got, body := exchangeOn(r.dial(), "GET /counters HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.Equal(t, 200, got.StatusCode)
+	for _, line := range []string{"exchanges_taken 2", "answers_satisfied 1", "answers_dismissed 1", "legs_satisfied 1"} {
+		assert.Contains(t, body, line+"\n")
+	}
+}
+
+// Beyond the descriptors a client is still read and told to come back; nothing stays unread.
+func TestNoDescriptorLeft(t *testing.T) {
+	s := newStandIn(t, silent)
+	r := begin(t, known(s), func(s *Start) { s.Sockets = 2 * fixedSockets })
+	for n := range r.front.sockets.usable {
+		c := r.dial()
+		c.Write([]byte(ask(fmt.Sprint(n), "GET", "look", "")))
+	}
+	assert.Eventually(t, func() bool { n, _ := r.front.sockets.held(); return n >= r.front.sockets.usable },
+		5*time.Second, time.Millisecond)
+	got, _ := exchangeOn(r.dial(), ask("last", "POST", "buy", "Content-Length: 5\r\n")+"hello")
+	require.NotNil(t, got)
+	assert.Equal(t, 503, got.StatusCode)
+	assert.Equal(t, comeBack, got.Header.Get("Retry-After"))
+	assert.True(t, got.Close)
+}
+
+func TestNoMemoryLeft(t *testing.T) {
+	r := begin(t, known(newStandIn(t, say(fine, true))), nil)
+	r.front.bodyRoom = 4
+	assert.Equal(t, 503, r.status(ask("1", "POST", "buy", "Content-Length: 5\r\n")+"hello"))
+	assert.Equal(t, 200, r.status(ask("2", "POST", "buy", "Content-Length: 4\r\n")+"hell"))
+	assert.Zero(t, r.front.bodies.Load())
+}
+
+// After SIGTERM connections still come, kept ones are used on, and what is held must be finished.
+func TestEnding(t *testing.T) {
+	free := make(chan bool)
+	s := newStandIn(t, func(c net.Conn, q *http.Request) bool {
+		if q.URL.Path == "/buy/slow" {
+			<-free
+		}
+		c.Write([]byte(fine))
+		return true
+	})
+	r := begin(t, known(s), nil)
+	kept, slow := r.dial(), r.dial()
+	got, _ := exchangeOn(kept, ask("1", "GET", "look", ""))
+	assert.False(t, got.Close)
+	slow.Write([]byte(strings.Replace(ask("2", "POST", "buy/slow", "Content-Length: 0\r\n"), "900m", "9000m", 1)))
+	<-s.seen
+	<-s.seen
+	r.stop()
+	assert.Eventually(t, func() bool { return r.front.until.Load() != nil }, 5*time.Second, time.Millisecond)
+	for n, c := range []net.Conn{kept, r.dial()} {
+		got, body := exchangeOn(c, ask(fmt.Sprint("late", n), "GET", "look", ""))
+		require.NotNil(t, got, body)
+		assert.Equal(t, 200, got.StatusCode)
+		assert.True(t, got.Close)
+	}
+	long := strings.Replace(ask("long", "GET", "look", ""), "900m", "60000m", 1)
+	assert.Equal(t, 503, r.status(long), "would not be answered before SIGKILL")
+	close(free)
+	got, _ = exchangeOn(slow, "")
+	require.NotNil(t, got)
+	assert.Equal(t, 200, got.StatusCode)
+	err := <-r.ended
+	assert.NoError(t, err)
+	r.ended <- err
+	_, err = net.Dial("tcp", r.addr)
+	assert.Error(t, err)
+}
+
+// A fault in one exchange must not take the others with it.
+func TestPanics(t *testing.T) {
+	s := newStandIn(t, say(fine, true))
+	r := begin(t, known(s), nil)
+	plain := r.loop.up.dial
+	var once sync.Once
+	r.loop.up.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		once.Do(func() { panic("in a leg") })
+		return plain(ctx, network, addr)
+	}
+	assert.Equal(t, 502, r.status(ask("1", "POST", "buy", "Content-Length: 0\r\n")))
+	x := &exchange{id: "2", answer: make(chan answer, 1)}
+	r.loop.post(legOver{x: x, n: 5})
+	assert.Equal(t, 502, (<-x.answer).status, "in the loop")
+	assert.Equal(t, 200, r.status(ask("3", "POST", "buy", "Content-Length: 0\r\n")))
+	assert.EqualValues(t, 2, r.front.counters.panics.Load())
+}
+
+// When nobody decides in time, the loop answers: no exchange is lost.
+func TestBackstop(t *testing.T) {
+	r := begin(t, known(newStandIn(t, silent)), nil)
+	x := &exchange{id: "1", answer: make(chan answer, 1)}
+	r.loop.post(arrival{x}) // its abandon time has passed already
+	a := <-x.answer
+	assert.Contains(t, []int{503, 504}, a.status)
+}
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -38,6 +38,7 @@
 	names                   *terms.Names
 	known                   *inventory
 	connect, idleClose      logic.Millis
+	silence                 time.Duration // of discovery, after which the watch has ended
 }
 
 // Read decodes the file at path.
@@ -72,7 +73,7 @@
 		Discovery: string(v.GetStringBytes("discovery")), Cores: limits.GetFloat64("cores"),
 		MemoryMB: limits.GetInt("memory_mb"), Sockets: limits.GetInt("sockets"),
 		connect:   terms.Millis(settings.Get("allowed"), "connect-timeout"),
-		idleClose: terms.Millis(settings.Get("allowed"), "idle-close"),
+		idleClose: terms.Millis(settings.Get("allowed"), "idle-close"), silence: silence,
 	}
 	for name, addr := range map[string]string{"listen": s.Listen, "discovery": s.Discovery} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
@@ -131,32 +132,45 @@
 	if err != nil {
 		return err
 	}
-	counters, books := &Counters{}, newSockets(s.Sockets)
-	up := newUpstream(s.connect, s.idleClose, books, counters)
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	l := newLoop(life, s.terms, s.known, up, newLists(s.Discovery, s.names), counters, log)
-	srv := &front{
+	srv := s.assemble(life, log)
+	err = s.serve(ctx, srv, ln.(*net.TCPListener))
+	log.Info("ends", srv.counters.fields(srv.sockets)...)
+	return err
+}
+
+// assemble starts all parts but the listener's; they end with ctx.
+func (s *Start) assemble(ctx context.Context, log *zap.Logger) *front {
+	counters, books := &Counters{}, newSockets(s.Sockets)
+	up := newUpstream(s.connect, s.idleClose, books, counters)
+	l := newLoop(ctx, s.terms, s.known, up, newLists(s.Discovery, s.silence, s.names), counters, log)
+	go l.run()
+	go sweeping(ctx, up)
+	return &front{
 		loop: l, names: s.names, products: s.terms.Products, sockets: books, counters: counters, log: log,
 		bodyRoom: int64(s.MemoryMB) << 20 / 4,
 	}
+}
+
+func (s *Start) serve(ctx context.Context, srv *front, ln *net.TCPListener) error {
 	web := srv.httpServer()
-	go l.run()
-	go sweeping(life, up)
 	failed := make(chan error, 1)
-	go func() { failed <- web.Serve(&door{ln.(*net.TCPListener), books}) }()
-	log.Info("serving", zap.String("name", s.Name), zap.String("listen", ln.Addr().String()))
+	go func() { failed <- web.Serve(&door{ln, srv.sockets}) }()
+	srv.log.Info("serving", zap.String("name", s.Name), zap.String("listen", ln.Addr().String()))
 	select {
-	case err = <-failed:
+	case err := <-failed:
+		return err
 	case <-ctx.Done():
 		s.finish(srv, web, ln)
+		return nil
 	}
-	log.Info("ends", counters.fields(books)...)
-	return err
 }
 
 func sweeping(ctx context.Context, up *upstream) {
-	for beat := time.NewTicker(time.Second); ; {
+	beat := time.NewTicker(time.Second)
+	defer beat.Stop()
+	for {
 		select {
 		case <-ctx.Done():
 			return
@@ -173,16 +187,19 @@
 	for _, p := range s.terms.Products {
 		longest = max(longest, span(p.Abandon))
 	}
-	srv.ending.Store(true)
+	until := began.Add(longest + endMargin/2)
+	srv.until.Store(&until)
 	srv.log.Info("ending", zap.Int64("held", srv.loop.held.Load()))
 	accepting := true
-	for beat := time.NewTicker(10 * time.Millisecond); ; <-beat.C {
+	beat := time.NewTicker(10 * time.Millisecond)
+	defer beat.Stop()
+	for ; ; <-beat.C {
 		gone := time.Since(began)
 		if accepting && gone > acceptLast {
 			accepting = false
 			ln.Close()
 		}
-		quiet := time.Since(time.Unix(0, srv.newest.Load())) > quietLast
+		quiet := time.Since(srv.loop.started)-time.Duration(srv.newest.Load()) > quietLast
 		if gone > acceptLast && quiet && srv.loop.held.Load() == 0 || gone > longest+endMargin {
 			break
 		}
