Tests of the sidecar on loopback stand-ins; a prompt 4xx where a body is owed

Seen: a body announced too long, or one that never comes, got no answer for 10 s. Net/http reads a body to its end before it writes the answer (server.go, finishRequest and writeHeader). The answer now closes its connection and a read deadline of 1 s bounds what is left of the body.

--- /dev/null
+++ b/internal/sidecar/discovery_test.go
@@ -0,0 +1,121 @@
+package sidecar
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const watchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(line string) string { return fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line) }
+
+// Each way in which a watch may end is told to the module, which asks again; what was known till then stays.
+func TestWatchEnds(t *testing.T) {
+	s := newStandIn(t, say(fine, true))
+	good := chunk(known(s))
+	for _, c := range []struct {
+		name   string
+		script func(net.Conn, *http.Request) bool
+	}{
+		{"503", say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false)},
+		{"reset", hangUp},
+		{"no HTTP", say("hello\r\n\r\n", false)},
+		{"silent from the start", silent},
+		{"silent after a line", func(c net.Conn, r *http.Request) bool {
+			c.Write([]byte(watchHead + good))
+			return silent(c, r)
+		}},
+		{"ends after a line", say(watchHead+good+"0\r\n\r\n", false)},
+		{"breaks off", say(watchHead+good+"ff\r\n{", false)},
+		{"not JSON", say(watchHead+good+chunk("{"), true)},
+		{"no list", say(watchHead+good+chunk(`{"version":2}`), true)},
+		{"an entry without id", say(watchHead+good+chunk(`{"servers":[{"addr":"127.0.0.1:1"}]}`), true)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newStandIn(t, c.script)
+			r := begin(t, known(s), func(start *Start) {
+				start.Discovery, start.silence = d.Addr().String(), 100*time.Millisecond
+			})
+			assert.Eventually(t, func() bool { return d.requests.Load() >= 3 }, 10*time.Second, time.Millisecond)
+			first := <-d.seen
+			assert.Equal(t, "/discovery/hosts?watch=1&after=1", first.RequestURI)
+			assert.Equal(t, 200, r.status(ask("1", "GET", "look", "")))
+		})
+	}
+}
+
+// What a watch tells takes effect on the next exchange.
+func TestWatchTells(t *testing.T) {
+	a, b := newStandIn(t, say(fine, true)), newStandIn(t, say(fine, true))
+	at, bt := a.Addr().String(), b.Addr().String()
+	tell := make(chan string)
+	d := newStandIn(t, func(c net.Conn, _ *http.Request) bool {
+		c.Write([]byte(watchHead))
+		for line := range tell {
+			c.Write([]byte(chunk(line)))
+		}
+		return false
+	})
+	defer close(tell)
+	r := begin(t, known(a), func(s *Start) { s.Discovery = d.Addr().String() })
+	for n, c := range []struct {
+		name, line string
+		to         *standIn
+	}{
+		{"nothing new", listText(1, false), a},
+		{"a beat", "", a},
+		{"moved", listText(2, false, entryText("s0", bt, "in_service")), b},
+		{"drains", listText(3, false, entryText("s0", bt, "terminating")), nil},
+		{"another", listText(4, false, entryText("s1", at, "in_service")), a},
+		{"one goes", listText(5, false, entryText("s0", bt, "in_service"), entryText("s1", at, "terminated")), b},
+		{"a word that nobody knows", listText(6, false, entryText("s0", bt, "dancing")), nil},
+		{"no address", listText(7, false, entryText("s2", "", "in_service")), nil},
+		{"whole list", listText(8, true, entryText("s1", at, "in_service")), a},
+		{"not on the whole list any more", listText(9, true, entryText("s2", bt, "in_service")), b},
+	} {
+		before := r.front.counters.lists.Load()
+		tell <- c.line
+		if c.line != "" {
+			assert.Eventually(t, func() bool { return r.front.counters.lists.Load() > before }, 5*time.Second,
+				time.Millisecond, c.name)
+		}
+		seen := [2]int64{a.requests.Load(), b.requests.Load()}
+		status := r.status(ask(fmt.Sprint(n), "GET", "look", ""))
+		if c.to == nil {
+			assert.Equal(t, 503, status, c.name)
+			assert.Equal(t, seen, [2]int64{a.requests.Load(), b.requests.Load()}, c.name)
+			continue
+		}
+		assert.Equal(t, 200, status, c.name)
+		assert.Equal(t, c.to == a, a.requests.Load() > seen[0], c.name)
+		assert.Equal(t, c.to == b, b.requests.Load() > seen[1], c.name)
+	}
+}
+
+func TestDecodeStart(t *testing.T) {
+	for _, c := range []struct{ name, text, fault string }{
+		{"not JSON", "{", "not JSON"},
+		{"no seed", `{}`, "seed"},
+		{"no products", `{"seed":"1f"}`, "no products"},
+		{"no address", `{"seed":"1f","settings":{"products":[{}]}}`, "address"},
+		{"no port", `{"seed":"1f","listen":"a","discovery":"a","settings":{"products":[{}]}}`, "port"},
+		{"too few sockets", `{"seed":"1f","listen":"a:1","discovery":"a:1","limits":{"sockets":9},` +
+			`"settings":{"products":[{}]}}`, "sockets"},
+		{"below 0", `{"seed":"1f","listen":"a:1","discovery":"a:1","limits":{"cores":-1},"settings":{"products":[{}]}}`,
+			"below 0"},
+		{"junk known", `{"seed":"1f","listen":"a:1","discovery":"a:1","known":7,"settings":{"products":[{}]}}`, "known"},
+	} {
+		_, err := Decode([]byte(c.text))
+		assert.ErrorContains(t, err, c.fault, c.name)
+	}
+	s, err := Decode([]byte(`{"name":"n","seed":"ffffffffffffffff","listen":"a:1","discovery":"a:2","known":null,` +
+		`"settings":{"products":[{}]}}`))
+	assert.NoError(t, err)
+	assert.Equal(t, "n listens on a:1, asks a:2; 1 products, 0 endpoints known; 0 cores, 192 MB, 1024 sockets", s.String())
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -25,7 +25,7 @@
 const (
 	headTime   = 5 * time.Second // for a request's head, and for an answer to be taken
 	idleTime   = 5 * time.Minute
-	turnedTime = time.Second  // for the body of a request that is turned away
+	turnedTime = time.Second  // for what is left of a request that is not taken
 	mostWait   = 3600 * 1000. // milliseconds; a client that says it waits longer is mistaken
 	comeBack   = "0.500"      // seconds, where there is no room to ask the module
 )
@@ -156,6 +156,7 @@
 	var why string
 	if x, status, why = s.read(w, r, came); x == nil {
 		s.counters.badInput.Add(1)
+		hangUpAfter(w)
 		http.Error(w, why, status)
 		return
 	}
@@ -178,13 +179,19 @@
 // turnAway answers what there is no room to take in: read first, or the client would find its connection broken.
 func (s *front) turnAway(w http.ResponseWriter, r *http.Request) {
 	s.counters.turnedAway.Add(1)
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(turnedTime))
+	hangUpAfter(w)
 	io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost))
-	w.Header().Set("Connection", "close")
 	w.Header().Set("Retry-After", comeBack)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// hangUpAfter closes the connection behind the answer. Net/http else reads on, before or after it, for a body that may
+// never come, and a prompt answer would wait for that.
+func hangUpAfter(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(turnedTime))
+}
+
 // dropped are headers of one connection only, and those that this program writes itself.
 var dropped = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true, "Te": true,
