--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -190,8 +190,10 @@
 		if fault := recover(); fault != nil {
 			l.counters.panics.Add(1)
 			l.log.Error("panic in the loop", zap.String("fault", fmt.Sprint(fault)), zap.Stack("stack"))
-			if x != nil {
+			if x != nil && !x.answered {
 				l.reply(x, answer{status: http.StatusBadGateway})
+				l.guarded(nil, func() { l.module.Left(x.id) })
+				l.forget(x)
 			}
 		}
 	}()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -26,6 +26,7 @@
 	headTime   = 5 * time.Second // for a request's head, and for an answer to be taken
 	idleTime   = 5 * time.Minute
 	turnedTime = time.Second  // for what is left of a request that is not taken
+	idMost     = 200          // bytes: ids are remembered
 	mostWait   = 3600 * 1000. // milliseconds; a client that says it waits longer is mistaken
 	comeBack   = "0.500"      // seconds, where there is no room to ask the module
 )
@@ -80,9 +81,10 @@
 
 // httpServer wires net/http to it.
 func (s *front) httpServer() *http.Server {
+	complaints, _ := zap.NewStdLogAt(s.log, zap.WarnLevel)
 	return &http.Server{
 		Handler: s, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: headMost,
-		ErrorLog: zap.NewStdLog(s.log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))),
+		ErrorLog: complaints,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, clientKey{}, c)
 		},
@@ -198,13 +200,15 @@
 	"Trailer": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Request-Timeout": true,
 }
 
+var kept = map[string]bool{"Request-Id": true, "Idempotency-Key": true, "Request-Class": true}
+
 // read makes an exchange of a request, or says why it is none.
 func (s *front) read(w http.ResponseWriter, r *http.Request, came time.Time) (x *exchange, status int, why string) {
 	id, wait := r.Header.Values("Request-Id"), duration(r.Header.Values("Request-Timeout"))
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodPost:
 		return nil, http.StatusMethodNotAllowed, "GET and POST only"
-	case len(id) != 1 || id[0] == "":
+	case len(id) != 1 || id[0] == "" || len(id[0]) > idMost:
 		return nil, http.StatusBadRequest, "one Request-Id is needed"
 	case wait <= 0:
 		return nil, http.StatusBadRequest, "one Request-Timeout is needed, such as 480m or 480000u"
@@ -233,7 +237,10 @@
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, target, r.Host)
 	for _, list := range r.Header.Values("Connection") {
 		for name := range strings.SplitSeq(list, ",") {
-			r.Header.Del(strings.TrimSpace(name))
+			// Never what tells repeats apart: without it the endpoint would let an effect happen twice.
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); !kept[name] {
+				r.Header.Del(name)
+			}
 		}
 	}
 	r.Header.WriteSubset(&head, dropped)
@@ -260,7 +267,7 @@
 	}
 	switch effect := s.products[p].Effect; {
 	case effect == logic.Replayable && r.Method != http.MethodGet,
-		effect == logic.Referenced && r.Header.Get("Idempotency-Key") == "":
+		effect == logic.Referenced && (len(r.Header.Values("Idempotency-Key")) != 1 || r.Header.Get("Idempotency-Key") == ""):
 		return -1
 	}
 	return p
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -14,6 +14,7 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -83,6 +84,10 @@
 	if s.Cores < 0 || s.MemoryMB < 0 || s.Sockets < 0 {
 		return nil, errors.New("limits: below 0")
 	}
+	var own syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own) == nil && own.Cur < uint64(s.Sockets) {
+		s.Sockets = int(own.Cur)
+	}
 	if s.Sockets == 0 {
 		s.Sockets = 1024
 	}
