--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -144,7 +144,8 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", ask, d.addr); err != nil {
 		return err
 	}
-	got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	most := &io.LimitedReader{R: conn, N: listMost} // bounds a head or a line without end
+	got, err := http.ReadResponse(bufio.NewReader(most), nil)
 	if err != nil {
 		return err
 	}
@@ -156,6 +157,7 @@
 	lines.Buffer(nil, listMost)
 	for lines.Scan() {
 		conn.SetDeadline(time.Now().Add(d.silence))
+		most.N = listMost
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,6 +33,13 @@
 		}},
 		{"ends after a line", say(watchHead+good+"0\r\n\r\n", false)},
 		{"breaks off", say(watchHead+good+"ff\r\n{", false)},
+		{"head without end", func(c net.Conn, _ *http.Request) bool {
+			c.Write([]byte("HTTP/1.1 200 OK\r\n"))
+			for err := error(nil); err == nil; {
+				_, err = c.Write([]byte(strings.Repeat("A: bcdefgh\r\n", 1000)))
+			}
+			return false
+		}},
 		{"not JSON", say(watchHead+good+chunk("{"), true)},
 		{"no list", say(watchHead+good+chunk(`{"version":2}`), true)},
 		{"an entry without id", say(watchHead+good+chunk(`{"servers":[{"addr":"127.0.0.1:1"}]}`), true)},
@@ -100,6 +108,13 @@
 
 func TestDecodeStart(t *testing.T) {
 	for _, c := range []struct{ name, text, fault string }{
+		{"head without end", func(c net.Conn, _ *http.Request) bool {
+			c.Write([]byte("HTTP/1.1 200 OK\r\n"))
+			for err := error(nil); err == nil; {
+				_, err = c.Write([]byte(strings.Repeat("A: bcdefgh\r\n", 1000)))
+			}
+			return false
+		}},
 		{"not JSON", "{", "not JSON"},
 		{"no seed", `{}`, "seed"},
 		{"no products", `{"seed":"1f"}`, "no products"},
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -18,11 +18,10 @@
 
 // answer is what a client gets.
 type answer struct {
-	status    int
-	header    http.Header
-	body      []byte
-	comeBack  logic.Millis
-	exhausted bool // nobody decided in time: the loop's own backstop spoke
+	status   int
+	header   http.Header
+	body     []byte
+	comeBack logic.Millis
 }
 
 // exchange is one in hand. The server's goroutine reads answer; all else belongs to the loop once it is queued.
@@ -240,7 +239,7 @@
 		return
 	}
 	l.counters.overdue.Add(1)
-	l.reply(x, answer{status: http.StatusGatewayTimeout, exhausted: true})
+	l.reply(x, answer{status: http.StatusGatewayTimeout})
 	l.module.Left(x.id)
 	l.forget(x)
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -188,6 +188,9 @@
 		a.write(w)
 	case <-r.Context().Done():
 		s.loop.post(departure{x})
+		// Net/http answers 200 for a handler that says nothing, and one that closed its sending only would take that
+		// empty answer for an endpoint's.
+		answer{status: http.StatusBadGateway}.write(w)
 	}
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -241,7 +241,10 @@
 	c := r.dial()
 	c.Write([]byte(strings.Replace(ask("1", "GET", "look", ""), "900m", "60000m", 1)))
 	<-s.seen
-	c.Close()
+	c.(*net.TCPConn).CloseWrite()
+	got, _ := exchangeOn(c, "")
+	require.NotNil(t, got)
+	assert.Equal(t, 502, got.StatusCode, "nothing that could be taken for an endpoint's answer")
 	<-ended
 	assert.EqualValues(t, 1, r.front.counters.left.Load())
 	assert.Eventually(t, func() bool { return r.front.counters.legs[logic.Cancelled].Load() == 1 },
