--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -108,13 +108,6 @@
 
 func TestDecodeStart(t *testing.T) {
 	for _, c := range []struct{ name, text, fault string }{
-		{"head without end", func(c net.Conn, _ *http.Request) bool {
-			c.Write([]byte("HTTP/1.1 200 OK\r\n"))
-			for err := error(nil); err == nil; {
-				_, err = c.Write([]byte(strings.Repeat("A: bcdefgh\r\n", 1000)))
-			}
-			return false
-		}},
 		{"not JSON", "{", "not JSON"},
 		{"no seed", `{}`, "seed"},
 		{"no products", `{"seed":"1f"}`, "no products"},
