News of the list that came while the process stood still are read before the watch is dropped

A read whose time is over returns nothing although bytes are there (Go's deadlines); a process stopped for over 4.25 s threw unread drains away with the watch. Test: TestNewsUnreadInTime, which fails on a plain connection.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -21,9 +22,10 @@
 )
 
 const (
-	beat     = 2 * time.Second
-	silence  = 2*beat + beat/8 // over two beats, but well under the 6 s after which news count as told
-	listMost = 4 << 20
+	beat      = 2 * time.Second
+	silence   = 2*beat + beat/8 // over two beats, but well under the 6 s after which news count as told
+	listMost  = 4 << 20
+	lateReads = 16
 )
 
 // entry is one entry of a list.
@@ -123,6 +125,23 @@
 	}()
 }
 
+// hearing reads what discovery says. A process that stood still for a while finds its time over and news unread, which
+// count as told: a drain in them would be broken, were they thrown away with the watch.
+type hearing struct {
+	net.Conn
+	late int // reads past their time since the last line
+}
+
+func (h *hearing) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && h.late < lateReads {
+		h.late++
+		h.SetReadDeadline(time.Now().Add(beat / 200))
+		n, err = h.Conn.Read(p)
+	}
+	return n, err
+}
+
 // follow hands on each line of one watch until it ends; a watch that says nothing for over two beats has ended.
 func (d *lists) follow(ctx context.Context, after int64, each func(inventory)) (err error) {
 	defer func() {
@@ -130,10 +149,11 @@
 			err = fmt.Errorf("panic in the watch: %v", fault)
 		}
 	}()
-	conn, err := (&net.Dialer{Timeout: d.silence, KeepAlive: -1}).DialContext(ctx, "tcp", d.addr)
+	dialled, err := (&net.Dialer{Timeout: d.silence, KeepAlive: -1}).DialContext(ctx, "tcp", d.addr)
 	if err != nil {
 		return err
 	}
+	conn := &hearing{Conn: dialled}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	conn.SetDeadline(time.Now().Add(d.silence))
@@ -157,7 +177,7 @@
 	lines.Buffer(nil, listMost)
 	for lines.Scan() {
 		conn.SetDeadline(time.Now().Add(d.silence))
-		most.N = listMost
+		most.N, conn.late = listMost, 0
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -106,6 +107,24 @@
 	}
 }
 
+// News that came while the process stood still must be read before its watch is held for silent.
+func TestNewsUnreadInTime(t *testing.T) {
+	d := newStandIn(t, say(fine, true))
+	c, err := net.Dial("tcp", d.Addr().String())
+	assert.NoError(t, err)
+	defer c.Close()
+	h := &hearing{Conn: c}
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	k := &link{conn: c}
+	assert.Eventually(t, func() bool { return !k.quiet() }, 5*time.Second, time.Millisecond)
+	h.SetReadDeadline(time.Unix(1, 0))
+	n, err := h.Read(make([]byte, 1000))
+	assert.NoError(t, err)
+	assert.Equal(t, len(fine), n)
+	_, err = h.Read(make([]byte, 1000))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
 func TestDecodeStart(t *testing.T) {
 	for _, c := range []struct{ name, text, fault string }{
 		{"not JSON", "{", "not JSON"},
