What is read just after a standstill has less time left than it says

An exchange's time counts from when its client sent it. A sidecar stopped or without a core for 300 ms read it late and gave its legs 300 ms too many: answers after the abandon time, so lost. A beat of 20 ms notices standstills over 40 ms. Test: TestPace.

--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -18,6 +18,7 @@
 	taken, satisfied, dismissed, forfeited, left, overdue, turnedAway, badInput, panics atomic.Int64
 	legs                                                                                [logic.NotSent + 1]atomic.Int64
 	dialled, reused, retired, unframed                                                  atomic.Int64
+	standstills, standstillMs                                                           atomic.Int64
 	lists, listLost, listVersion, endpoints                                             atomic.Int64
 }
 
@@ -35,7 +36,8 @@
 		{"answers_forfeited", &c.forfeited}, {"answers_overdue", &c.overdue}, {"clients_left", &c.left},
 		{"turned_away", &c.turnedAway}, {"bad_input", &c.badInput}, {"panics", &c.panics},
 		{"upstream_dialled", &c.dialled}, {"upstream_reused", &c.reused}, {"upstream_retired", &c.retired},
-		{"upstream_unframed", &c.unframed}, {"lists", &c.lists}, {"lists_lost", &c.listLost},
+		{"upstream_unframed", &c.unframed},
+		{"standstills", &c.standstills}, {"standstill_ms", &c.standstillMs}, {"lists", &c.lists}, {"lists_lost", &c.listLost},
 		{"list_version", &c.listVersion}, {"list_endpoints", &c.endpoints},
 	} {
 		visit(f.name, f.n.Load())
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -41,10 +41,56 @@
 	log      *zap.Logger
 	until    atomic.Pointer[time.Time] // once ending: what may wait longer is not taken any more
 	newest   atomic.Int64              // when an exchange was last taken, nanoseconds after the loop started
-	bodies   atomic.Int64              // bytes of requests in hand
+	pace     pace
+	bodies   atomic.Int64 // bytes of requests in hand
 	bodyRoom int64
 }
 
+// pace notices when the process stood still, be it stopped or without a core: what is read just after may have come
+// just before, and its client's time has run on. All times are since the loop started.
+type pace struct{ last, ended, length atomic.Int64 }
+
+const paceBeat = 20 * time.Millisecond
+
+// beat is called every paceBeat, and tells whether it came far too late.
+func (p *pace) beat(now time.Duration) bool {
+	gap := now - time.Duration(p.last.Swap(int64(now)))
+	if gap <= 2*paceBeat {
+		return false
+	}
+	p.length.Store(int64(gap))
+	p.ended.Store(int64(now))
+	return true
+}
+
+// behind is how long ago something that is read now may have come.
+func (p *pace) behind(now time.Duration) time.Duration {
+	if gap := now - time.Duration(p.last.Load()); gap > 2*paceBeat {
+		return gap
+	}
+	since := now - time.Duration(p.ended.Load())
+	if length := time.Duration(p.length.Load()); length > 0 && since <= 2*paceBeat {
+		return length + since
+	}
+	return 0
+}
+
+func (s *front) keepPace(ctx context.Context) {
+	ticks := time.NewTicker(paceBeat)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			if s.pace.beat(time.Since(s.loop.started)) {
+				s.counters.standstills.Add(1)
+				s.counters.standstillMs.Add(s.pace.length.Load() / int64(time.Millisecond))
+			}
+		}
+	}
+}
+
 // client is one accepted connection.
 type client struct {
 	*net.TCPConn
@@ -263,6 +309,8 @@
 	if len(body) > 0 || r.Method == http.MethodPost {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
 	}
+	// An answer that keeps to a time counted from the end of a standstill comes too late.
+	came = came.Add(-s.pace.behind(came.Sub(s.loop.started)))
 	return &exchange{
 		id: logic.ExchangeID(id[0]), product: s.product(r), tenant: s.names.Tenant([]byte(r.Header.Get("Tenant"))),
 		abandon: s.loop.at(came) + wait, answer: make(chan answer, 1),
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -312,6 +312,36 @@
 	}
 }
 
+// What waited unread while the process stood still has less time left than it says.
+func TestPace(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name        string
+		beats       []time.Duration
+		now, behind time.Duration
+	}{
+		{"in step", []time.Duration{20 * ms, 40 * ms}, 50 * ms, 0},
+		{"a beat a little late", []time.Duration{20 * ms, 55 * ms}, 56 * ms, 0},
+		{"first after a standstill, before the beat", []time.Duration{20 * ms}, 320 * ms, 300 * ms},
+		{"after the beat", []time.Duration{20 * ms, 320 * ms}, 330 * ms, 310 * ms},
+		{"in step again", []time.Duration{20 * ms, 320 * ms, 340 * ms, 360 * ms}, 365 * ms, 0},
+	} {
+		var p pace
+		for _, at := range c.beats {
+			p.beat(at)
+		}
+		assert.Equal(t, c.behind, p.behind(c.now), c.name)
+	}
+	r := begin(t, "null", nil)
+	f := &front{loop: r.loop, names: r.front.names, products: r.front.products}
+	f.pace.last.Store(-int64(time.Hour))
+	q, err := http.ReadRequest(bufio.NewReader(strings.NewReader(ask("1", "GET", "look", ""))))
+	require.NoError(t, err)
+	x, _, _ := f.read(httptest.NewRecorder(), q, time.Now())
+	require.NotNil(t, x)
+	assert.Less(t, x.abandon, r.loop.at(time.Now()), "its time is over")
+}
+
 func TestAddressHeldAtStart(t *testing.T) {
 	before, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -165,12 +165,14 @@
 	counters, books := &Counters{}, newSockets(s.Sockets)
 	up := newUpstream(s.connect, s.idleClose, books, counters)
 	l := newLoop(ctx, s.terms, s.known, up, newLists(s.Discovery, s.silence, s.names), counters, log)
-	go l.run()
-	go sweeping(ctx, up)
-	return &front{
+	srv := &front{
 		loop: l, names: s.names, products: s.terms.Products, sockets: books, counters: counters, log: log,
 		bodyRoom: int64(s.MemoryMB) << 20 / 4,
 	}
+	go l.run()
+	go sweeping(ctx, up)
+	go srv.keepPace(ctx)
+	return srv
 }
 
 func (s *Start) serve(ctx context.Context, srv *front, ln *net.TCPListener) error {
