The loop's own answer waits for half of the grace, so that time-outs reach the module first

Seen in TestRulesHoldInTrouble, new: with a tick of 1 ms 0 to 2 of 144 exchanges were answered by the backstop, since a leg's time-out is due only 2 ms before it, and the module took the leg for called off.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -93,6 +93,7 @@
 	started   time.Time
 	startedMs float64
 	now       logic.Millis
+	grace     logic.Millis // past the abandon time, for a leg's time-out to be heard of first
 	timers    alarms
 	order     uint64
 	open      map[logic.ExchangeID]*exchange
@@ -219,7 +220,7 @@
 	l.counters.taken.Add(1)
 	l.held.Add(1)
 	l.open[x.id] = x
-	l.set(alarm{at: x.abandon, guard: x})
+	l.set(alarm{at: x.abandon + l.grace, guard: x})
 	l.module.Arrive(x.id, x.product, x.tenant, x.abandon)
 }
 
@@ -233,7 +234,8 @@
 	l.forget(e.x)
 }
 
-// overdue answers what is still without an answer when its client gives up, so that none is ever lost.
+// overdue answers what is still without an answer when its client gives up, so that none is ever lost. A leg's time-out
+// should come first: the module would not learn of it from an exchange that has left.
 func (l *loop) overdue(x *exchange) {
 	if x.answered {
 		return
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fastjson"
 	"go.uber.org/zap"
 
 	"github.com/lynxjunction/lynxjunction/logic"
@@ -23,7 +24,8 @@
 const startText = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",` +
 	`"limits":{"cores":1.0,"memory_mb":192,"sockets":%SOCKETS%},"known":%KNOWN%,"settings":{"fleet-size":1,"tick":1.0,` +
 	`"registry-mode":"on_request","allowed":{"max-legs":3,"may-cancel":true,"second-copies":true,"retry-after":true,` +
-	`"max-retry-after":700.0,"connect-timeout":250.0,"idle-close":15000.0},"guarantees":{"ask-within":1000.0},"products":[` +
+	`"max-retry-after":700.0,"connect-timeout":250.0,"idle-close":15000.0},` +
+	`"guarantees":{"ask-within":1000.0,"grace-to-answer":20.0},"products":[` +
 	`{"name":"look","effect":"retryable","expected-time":500.0,"abandon-time":1000.0,"value":1.0,"overdue-value":0.5},` +
 	`{"name":"buy","effect":"fragile","expected-time":500.0,"abandon-time":1000.0,"value":1.0,"overdue-value":0.5},` +
 	`{"name":"save","effect":"dedup","dedup-scope":"all","key-ttl":9000.0,"expected-time":500.0,"abandon-time":1000.0,` +
@@ -136,7 +138,7 @@
 		{"silent to the end", ask("1", "POST", "buy/x", "Content-Length: 0\r\n"), silent, 504, 1},
 		{"replayable is tried again", ask("1", "GET", "look/x", ""), oops, 503, 3},
 		{"referenced is tried again", ask("1", "POST", "save/x", key), oops, 503, 3},
-		{"referenced, mark named as of one hop", ask("1", "POST", "save/x", key+"Connection: Idempotency-Key\r\n"), oops, 503, 3},
+		{"referenced, its mark of one hop", ask("1", "POST", "save/x", key+"Connection: Idempotency-Key\r\n"), oops, 503, 3},
 		{"referenced with two marks", ask("1", "POST", "save/x", key+"Idempotency-Key: l\r\n"), oops, 502, 1},
 		{"referenced without its mark", ask("1", "POST", "save/x", "Content-Length: 0\r\n"), oops, 502, 1},
 		{"replayable by name, not by method", ask("1", "POST", "look/x", "Content-Length: 0\r\n"), oops, 502, 1},
@@ -430,3 +432,75 @@
 	a := <-x.answer
 	assert.Contains(t, []int{503, 504}, a.status)
 }
+
+// All troubles at once: each exchange gets one answer in time, and no effect comes twice or after a dismissal.
+func TestRulesHoldInTrouble(t *testing.T) {
+	var mu sync.Mutex
+	ran := map[string]int{} // by id, of single-use exchanges that were begun
+	turn := 0
+	scripts := []func(net.Conn, *http.Request) bool{
+		say(fine, true), say(fine, true), say("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", true), say(fine, false), hangUp,
+		say("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello", false), say(fine, true), silent,
+	}
+	endpoints := []net.Listener{}
+	for range 4 {
+		endpoints = append(endpoints, newStandIn(t, func(c net.Conn, q *http.Request) bool {
+			mu.Lock()
+			turn++
+			now := turn
+			if now%3 > 0 && q.Method == "POST" {
+				ran[q.Header.Get("Request-Id")]++
+			}
+			mu.Unlock()
+			if now%3 == 0 {
+				return say("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", true)(c, q)
+			}
+			return scripts[now%len(scripts)](c, q)
+		}).Listener)
+	}
+	r := begin(t, known(endpoints...), nil)
+	stop := make(chan bool)
+	go func() { // endpoints drain and come back all the while
+		for n := 0; ; n++ {
+			state := []string{"terminating", "in_service"}[n%2]
+			v, _ := fastjson.Parse(listText(n, false, entryText(fmt.Sprint("s", n/2%4), endpoints[n/2%4].Addr().String(), state)))
+			i, _ := decode(v)
+			r.loop.post(listing{inventory: i, fromDisk: true})
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	var all sync.WaitGroup
+	for client := range 12 {
+		all.Go(func() {
+			for n := range 12 {
+				id := fmt.Sprintf("%d-%d", client, n)
+				text := ask(id, "POST", "buy", "Content-Length: 0\r\n")
+				if n%3 == 0 {
+					text = ask(id, "GET", "look", "")
+				}
+				began := time.Now()
+				got, body := exchangeOn(r.dial(), strings.Replace(text, "900m", "300m", 1))
+				assert.Less(t, time.Since(began), time.Second, id)
+				if !assert.NotNil(t, got, body) {
+					return
+				}
+				mu.Lock()
+				assert.LessOrEqual(t, ran[id], 1, "effects of %s", id)
+				assert.Contains(t, []int{200, 502, 503, 504}, got.StatusCode)
+				assert.False(t, got.StatusCode == 503 && ran[id] > 0, "%s was dismissed and may have run", id)
+				assert.Equal(t, got.StatusCode == 200, body == "hello", id)
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	close(stop)
+	c := r.front.counters
+	assert.EqualValues(t, 12*12, c.taken.Load())
+	assert.EqualValues(t, 12*12, c.satisfied.Load()+c.dismissed.Load()+c.forfeited.Load())
+	assert.Zero(t, c.panics.Load()+c.left.Load()+r.loop.held.Load())
+}
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -41,6 +41,7 @@
 	known                   *inventory
 	knownFault              error
 	connect, idleClose      logic.Millis
+	grace                   logic.Millis  // past the abandon time in which an answer still counts
 	silence                 time.Duration // of discovery, after which the watch has ended
 }
 
@@ -75,6 +76,7 @@
 		Name: string(v.GetStringBytes("name")), Listen: string(v.GetStringBytes("listen")),
 		Discovery: string(v.GetStringBytes("discovery")), Cores: limits.GetFloat64("cores"),
 		MemoryMB: limits.GetInt("memory_mb"), Sockets: limits.GetInt("sockets"),
+		grace:     terms.Millis(settings.Get("guarantees"), "grace-to-answer"),
 		connect:   terms.Millis(settings.Get("allowed"), "connect-timeout"),
 		idleClose: terms.Millis(settings.Get("allowed"), "idle-close"), silence: silence,
 	}
@@ -174,6 +176,7 @@
 	counters, books := &Counters{}, newSockets(s.Sockets)
 	up := newUpstream(s.connect, s.idleClose, books, counters)
 	l := newLoop(ctx, s.terms, s.known, up, newLists(s.Discovery, s.silence, s.names), counters, log)
+	l.grace = s.grace / 2
 	srv := &front{
 		loop: l, names: s.names, products: s.terms.Products, sockets: books, counters: counters, log: log,
 		bodyRoom: int64(s.MemoryMB) << 20 / 4,
