--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -195,25 +195,20 @@
 // sweep closes what is idle for too long or was closed by its peer.
 func (u *upstream) sweep(now time.Time) {
 	for _, e := range u.all() {
-		u.drop(e, func(k *link) bool { return now.Sub(k.since) > u.retire || !k.quiet() })
-	}
-}
-
-// drop closes those idle connections of e that are bad.
-func (u *upstream) drop(e *endpoint, bad func(k *link) bool) {
-	e.mu.Lock()
-	kept, dropped := e.idle[:0], []*link(nil)
-	for _, k := range e.idle {
-		if bad(k) {
-			dropped = append(dropped, k)
-		} else {
-			kept = append(kept, k)
+		e.mu.Lock()
+		kept, dropped := e.idle[:0], []*link(nil)
+		for _, k := range e.idle {
+			if now.Sub(k.since) > u.retire || !k.quiet() {
+				dropped = append(dropped, k)
+			} else {
+				kept = append(kept, k)
+			}
 		}
+		e.idle = kept
+		e.mu.Unlock()
+		u.counters.retired.Add(int64(len(dropped)))
+		u.close(dropped...)
 	}
-	e.idle = kept
-	e.mu.Unlock()
-	u.counters.retired.Add(int64(len(dropped)))
-	u.close(dropped...)
 }
 
 // quiet tells that nothing has come on an idle connection: neither its end nor bytes that nobody asked for.
@@ -289,7 +284,6 @@
 			u.close(k)
 		}
 	}()
-	sent := time.Now()
 	k.conn.SetDeadline(g.giveUp)
 	stop := context.AfterFunc(g.ctx, func() { k.conn.SetDeadline(time.Unix(1, 0)) })
 	left := append(make([]byte, 0, 48), "Request-Timeout: "...)
@@ -307,13 +301,8 @@
 	r, keepOpen, fault := k.read(g)
 	// A connection whose leg was called off or timed out may still carry the late answer: it is not used again.
 	reusable = stop() && keepOpen
-	switch {
-	case fault != nil && fault.cause == errUnframed:
+	if fault != nil && fault.cause == errUnframed {
 		u.counters.unframed.Add(1)
-	case fault != nil && fault.outcome == logic.TimedOut:
-		// A machine that was cut off leaves its connections open and silent: each would cost another leg all of its time,
-		// where a new connection fails soon and has provably sent nothing.
-		u.drop(g.to, func(k *link) bool { return k.since.Before(sent) })
 	}
 	return r, fault
 }
