A log reader that stands still no longer stops the loop

The loop logs (module's notes, watch ended); a full pipe on standard error would have held it and every exchange. Lines now go through a queue of 1000 and are dropped beyond it. Test: TestLogNeverWaits; by hand with a FIFO that nobody reads: answers as before, exit 0.

--- a/cmd/lynxjunction/main.go
+++ b/cmd/lynxjunction/main.go
@@ -2,16 +2,20 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/lynxjunction/lynxjunction/internal/sidecar"
 )
@@ -43,7 +47,7 @@
 			if err != nil {
 				return err
 			}
-			log, err := logger(level)
+			log, err := logger(level, os.Stderr)
 			if err != nil {
 				return err
 			}
@@ -75,14 +79,59 @@
 	return all
 }
 
-func logger(level string) (*zap.Logger, error) {
+// logger writes JSON lines to out without ever waiting for it: the loop logs too, and a log reader that stands still
+// must not stop the exchanges. The lines that do not fit are lost.
+func logger(level string, out io.Writer) (*zap.Logger, error) {
 	least, err := zap.ParseAtomicLevel(level)
 	if err != nil {
 		return nil, err
 	}
-	z := zap.NewProductionConfig()
-	z.Level, z.DisableCaller, z.DisableStacktrace = least, true, true
-	return z.Build()
+	w := &logWriter{lines: make(chan []byte, 1000), flush: make(chan chan bool)}
+	go w.run(out)
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), w, least)), nil
+}
+
+type logWriter struct {
+	lines chan []byte
+	flush chan chan bool
+}
+
+func (w *logWriter) run(out io.Writer) {
+	for {
+		select {
+		case line := <-w.lines:
+			out.Write(line)
+		case done := <-w.flush:
+			for len(w.lines) > 0 {
+				out.Write(<-w.lines)
+			}
+			close(done)
+		}
+	}
+}
+
+func (w *logWriter) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- bytes.Clone(line):
+	default:
+	}
+	return len(line), nil
+}
+
+// Sync gives the last lines a moment to get out.
+func (w *logWriter) Sync() error {
+	last, done := time.After(200*time.Millisecond), make(chan bool)
+	select {
+	case w.flush <- done:
+	case <-last:
+		return os.ErrDeadlineExceeded
+	}
+	select {
+	case <-done:
+		return nil
+	case <-last:
+		return os.ErrDeadlineExceeded
+	}
 }
 
 // revision is what the build knows of its source.
--- a/cmd/lynxjunction/main_test.go
+++ b/cmd/lynxjunction/main_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -42,3 +45,24 @@
 		assert.NotContains(t, err.Error(), "\n", c.name)
 	}
 }
+
+// A log reader that stands still must not stop those who log.
+func TestLogNeverWaits(t *testing.T) {
+	in, out := io.Pipe()
+	log, err := logger("info", out)
+	assert.NoError(t, err)
+	for range 5000 {
+		log.Info("line")
+	}
+	assert.ErrorIs(t, log.Sync(), os.ErrDeadlineExceeded)
+	read := make(chan string)
+	go func() {
+		text, _ := io.ReadAll(in)
+		read <- string(text)
+	}()
+	assert.Eventually(t, func() bool { return log.Sync() == nil }, 5*time.Second, time.Millisecond)
+	out.Close()
+	text := <-read
+	assert.Contains(t, text, `"msg":"line"`)
+	assert.GreaterOrEqual(t, strings.Count(text, "\n"), 1000)
+}
