A standstill that begins after a request was read gives it no time

Seen on rereading: pace.behind was asked after the body was read, for the moment before; a standstill in between made it negative and moved the abandon time out. It is asked first now, and never below 0. Test: TestPace.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -70,7 +70,7 @@
 	}
 	since := now - time.Duration(p.ended.Load())
 	if length := time.Duration(p.length.Load()); length > 0 && since <= 2*paceBeat {
-		return length + since
+		return max(length+since, 0) // a beat may have come since now was read
 	}
 	return 0
 }
@@ -262,6 +262,7 @@
 	"Trailer": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Request-Timeout": true,
 }
 
+// kept are headers that are passed on even if a client names them as of one hop.
 var kept = map[string]bool{"Request-Id": true, "Idempotency-Key": true, "Request-Class": true}
 
 // read makes an exchange of a request, or says why it is none.
@@ -277,6 +278,8 @@
 	case r.ContentLength > bodyMost:
 		return nil, http.StatusRequestEntityTooLarge, "body too long"
 	}
+	// An answer that keeps to a time counted from the end of a standstill comes too late.
+	sent := came.Add(-s.pace.behind(came.Sub(s.loop.started)))
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(came.Add(span(wait)))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
@@ -309,11 +312,9 @@
 	if len(body) > 0 || r.Method == http.MethodPost {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
 	}
-	// An answer that keeps to a time counted from the end of a standstill comes too late.
-	came = came.Add(-s.pace.behind(came.Sub(s.loop.started)))
 	return &exchange{
 		id: logic.ExchangeID(id[0]), product: s.product(r), tenant: s.names.Tenant([]byte(r.Header.Get("Tenant"))),
-		abandon: s.loop.at(came) + wait, answer: make(chan answer, 1),
+		abandon: s.loop.at(sent) + wait, answer: make(chan answer, 1),
 		request: request{method: r.Method, head: head.Bytes(), body: body},
 	}, 0, ""
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -99,7 +99,7 @@
 	return c
 }
 
-// exchange writes text on c and reads an answer and its body; a nil answer is none.
+// exchangeOn writes text on c and reads an answer and its body; nil is none.
 func exchangeOn(c net.Conn, text string) (*http.Response, string) {
 	c.Write([]byte(text))
 	got, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -326,6 +326,7 @@
 		{"a beat a little late", []time.Duration{20 * ms, 55 * ms}, 56 * ms, 0},
 		{"first after a standstill, before the beat", []time.Duration{20 * ms}, 320 * ms, 300 * ms},
 		{"after the beat", []time.Duration{20 * ms, 320 * ms}, 330 * ms, 310 * ms},
+		{"a standstill that began after it was read", []time.Duration{20 * ms, 320 * ms}, 10 * ms, 0},
 		{"in step again", []time.Duration{20 * ms, 320 * ms, 340 * ms, 360 * ms}, 365 * ms, 0},
 	} {
 		var p pace
