SIGHUP: follow the new discovery at once, believing the old one until it has told

At fault: cmd/lynxjunction/main.go ignored SIGHUP; discovery.go knew one address for life.

Now the file is read anew, a bad one is logged and changes nothing, the new discovery is asked for its whole list (its versions are its own), and until its first word the old watch still counts, since a drain in it counts as told. Connecting to discovery has 1 s, so that there is time for two more tries within the 4 s.

--- a/cmd/lynxjunction/main.go
+++ b/cmd/lynxjunction/main.go
@@ -43,6 +43,9 @@
 	serve := &cobra.Command{
 		Use: "serve", Short: "Serve until SIGTERM, then finish what is held", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			// From the first moment on: until it is caught, SIGHUP ends the process.
+			again := make(chan os.Signal, 1)
+			signal.Notify(again, syscall.SIGHUP)
 			start, err := read()
 			if err != nil {
 				return err
@@ -53,10 +56,10 @@
 			}
 			defer log.Sync()
 			// A log reader that dies must not take the sidecar with it.
-			signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP)
+			signal.Ignore(syscall.SIGPIPE)
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 			defer stop()
-			return start.Serve(ctx, log)
+			return start.Serve(ctx, log, again, read)
 		},
 	}
 	serve.Flags().StringVar(&level, "log", "info", "least level that is logged: debug, info, warn, error")
--- a/cmd/lynxjunction/main_test.go
+++ b/cmd/lynxjunction/main_test.go
@@ -3,13 +3,16 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 func TestCommands(t *testing.T) {
@@ -66,3 +69,48 @@
 	assert.Contains(t, text, `"msg":"line"`)
 	assert.GreaterOrEqual(t, strings.Count(text, "\n"), 1000)
 }
+
+// SIGHUP must never end the process: it reads its file anew, again and again, also near SIGTERM.
+func TestSignals(t *testing.T) {
+	path, asked := filepath.Join(t.TempDir(), "start"), make(chan string)
+	discoveries := []string{}
+	for range 2 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer ln.Close()
+		addr := ln.Addr().String()
+		discoveries = append(discoveries, addr)
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				asked <- addr
+			}
+		}()
+	}
+	write := func(text string) {
+		require.NoError(t, os.WriteFile(path+"new", []byte(text), 0o600))
+		require.NoError(t, os.Rename(path+"new", path))
+	}
+	ended := make(chan error)
+	for n := range 5 {
+		write(`{"name":"n7","seed":"1","listen":"127.0.0.1:0","discovery":"` + discoveries[n%2] + `",` +
+			`"settings":{"products":[{"name":"p","abandon-time":1}]}}`)
+		if n == 0 {
+			all := root()
+			all.SetArgs([]string{"serve", "--config", path, "--log", "error"})
+			go func() { ended <- all.Execute() }()
+		} else {
+			require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		}
+		assert.Equal(t, discoveries[n%2], <-asked)
+	}
+	write("{")
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		require.NoError(t, syscall.Kill(os.Getpid(), s))
+	}
+	assert.NoError(t, <-ended)
+}
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -19,7 +19,7 @@
 	legs                                                                                [logic.NotSent + 1]atomic.Int64
 	dialled, reused, retired, unframed                                                  atomic.Int64
 	standstills, standstillMs                                                           atomic.Int64
-	lists, listLost, listVersion, endpoints                                             atomic.Int64
+	lists, listLost, listVersion, endpoints, reloads, reloadFaults                      atomic.Int64
 }
 
 var outcomeNames = [logic.NotSent + 1]string{
@@ -39,6 +39,7 @@
 		{"upstream_unframed", &c.unframed},
 		{"standstills", &c.standstills}, {"standstill_ms", &c.standstillMs}, {"lists", &c.lists}, {"lists_lost", &c.listLost},
 		{"list_version", &c.listVersion}, {"list_endpoints", &c.endpoints},
+		{"reloads", &c.reloads}, {"reload_faults", &c.reloadFaults},
 	} {
 		visit(f.name, f.n.Load())
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -26,6 +26,7 @@
 	silence   = 2*beat + beat/8 // over two beats, but well under the 6 s after which news count as told
 	listMost  = 4 << 20
 	lateReads = 16
+	dialLast  = time.Second // news of a new discovery count as told 4 s after SIGHUP: there must be time for two more
 )
 
 // entry is one entry of a list.
@@ -72,16 +73,20 @@
 	addr    string
 	silence time.Duration
 	zones   *terms.Names
-	version int64
-	current int // number of the watch in force; what an older one still says is stale
+	version int64 // by this discovery's own count; 0 asks for the whole list
+	current int   // number of the watch in force; what an older one still says is stale
 	stop    context.CancelFunc
+	live    bool // the watch in force has not ended
+	heard   bool // it has told something
+	before  int  // number of the watch of the discovery before, believed until the new one has told its list
+	stopOld context.CancelFunc
 	named   map[logic.EndpointID]bool // true: by the last whole list or since
 	addrs   map[logic.EndpointID]bool // had an address once
 }
 
 func newLists(addr string, silence time.Duration, names *terms.Names) *lists {
 	return &lists{
-		addr: addr, silence: silence, zones: names, stop: func() {}, named: map[logic.EndpointID]bool{},
+		addr: addr, silence: silence, zones: names, stop: func() {}, stopOld: func() {}, named: map[logic.EndpointID]bool{},
 		addrs: map[logic.EndpointID]bool{},
 	}
 }
@@ -111,14 +116,45 @@
 	return gone
 }
 
-// watch starts the one watch in place of any before it.
+// move turns to another discovery. The old one goes on telling for a moment: a drain in its last words counts as told,
+// and must not be thrown away while the new one is still being asked.
+func (d *lists) move(addr string) (moved bool) {
+	if addr == d.addr {
+		return false
+	}
+	if d.heard {
+		d.stopOld()
+		d.before, d.stopOld = d.current, d.stop
+	} else {
+		d.stop()
+	}
+	// Nothing says that the new one counts on from the old one's versions: it is asked for the whole list.
+	d.addr, d.version, d.stop, d.live = addr, 0, func() {}, false
+	return true
+}
+
+// believes tells whether what a watch says still counts. The new discovery's first word ends the old one's.
+func (d *lists) believes(watch int) bool {
+	if watch == d.current && !d.heard {
+		d.heard, d.before = true, 0
+		d.stopOld()
+	}
+	return watch == d.current || watch == d.before
+}
+
+// watch starts the one watch in place of any that has ended. A timer of the module that was set before the discovery
+// moved must not break off the watch of the new one.
 func (d *lists) watch(ctx context.Context, post func(event)) {
+	if d.live {
+		return
+	}
 	d.stop()
 	d.current++
-	number, after := d.current, d.version
+	d.live, d.heard = true, false
+	number, addr, after := d.current, d.addr, d.version
 	ctx, d.stop = context.WithCancel(ctx)
 	go func() {
-		err := d.follow(ctx, after, func(i inventory) { post(listing{inventory: i, watch: number}) })
+		err := d.follow(ctx, addr, after, func(i inventory) { post(listing{inventory: i, watch: number}) })
 		if ctx.Err() == nil {
 			post(listLost{number, err})
 		}
@@ -143,13 +179,13 @@
 }
 
 // follow hands on each line of one watch until it ends; a watch that says nothing for over two beats has ended.
-func (d *lists) follow(ctx context.Context, after int64, each func(inventory)) (err error) {
+func (d *lists) follow(ctx context.Context, addr string, after int64, each func(inventory)) (err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
 			err = fmt.Errorf("panic in the watch: %v", fault)
 		}
 	}()
-	dialled, err := (&net.Dialer{Timeout: d.silence, KeepAlive: -1}).DialContext(ctx, "tcp", d.addr)
+	dialled, err := (&net.Dialer{Timeout: min(dialLast, d.silence), KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
@@ -161,7 +197,7 @@
 	if after > 0 {
 		ask += "&after=" + strconv.FormatInt(after, 10)
 	}
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", ask, d.addr); err != nil {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", ask, addr); err != nil {
 		return err
 	}
 	most := &io.LimitedReader{R: conn, N: listMost} // bounds a head or a line without end
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -1,11 +1,13 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,6 +109,67 @@
 	}
 }
 
+// A new configuration names another discovery: it is asked at once for its whole list, and what the old one tells until
+// then still counts. A file that can't be used changes nothing.
+func TestReload(t *testing.T) {
+	a, b := newStandIn(t, say(fine, true)), newStandIn(t, say(fine, true))
+	at, bt := a.Addr().String(), b.Addr().String()
+	scripted := func(tell chan string, over chan bool) *standIn {
+		return newStandIn(t, func(c net.Conn, r *http.Request) bool {
+			c.Write([]byte(watchHead))
+			go func() {
+				for line := range tell {
+					c.Write([]byte(chunk(line)))
+				}
+			}()
+			silent(c, r)
+			over <- true
+			return false
+		})
+	}
+	tells, overs := [2]chan string{make(chan string), make(chan string)}, [2]chan bool{make(chan bool, 9), make(chan bool, 9)}
+	d := [2]*standIn{scripted(tells[0], overs[0]), scripted(tells[1], overs[1])}
+	defer close(tells[0])
+	defer close(tells[1])
+	var start *Start
+	r := begin(t, known(a), func(s *Start) { start, s.Discovery = s, d[0].Addr().String() })
+	c := r.front.counters
+	told := func(n int, line string) {
+		before := c.lists.Load()
+		tells[n] <- line
+		assert.Eventually(t, func() bool { return c.lists.Load() > before }, 5*time.Second, time.Millisecond, line)
+	}
+	again, files := make(chan os.Signal), make(chan func() (*Start, error), 1)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go start.follow(ctx, r.front, again, func() (*Start, error) { return (<-files)() })
+	reload := func(discovery string, err error) {
+		files <- func() (*Start, error) { return &Start{Discovery: discovery, Listen: start.Listen}, err }
+		again <- syscall.SIGHUP
+	}
+	assert.Equal(t, "/discovery/hosts?watch=1&after=1", (<-d[0].seen).RequestURI)
+	told(0, listText(7, true, entryText("s0", at, "in_service")))
+	reload("", errJunk)
+	reload(d[0].Addr().String(), nil) // the same as before: its watch goes on
+	reload(d[1].Addr().String(), nil)
+	assert.Equal(t, "/discovery/hosts?watch=1", (<-d[1].seen).RequestURI, "its versions are its own")
+	assert.EqualValues(t, 1, c.reloadFaults.Load())
+	r.loop.post(moved{d[1].Addr().String()})
+	assert.Equal(t, 200, r.status(ask("1", "GET", "look", "")), "list and connections are kept")
+	told(0, listText(8, false, entryText("s0", at, "terminating")))
+	assert.Equal(t, 503, r.status(ask("2", "GET", "look", "")), "the old one's last words count")
+	told(1, listText(3, true, entryText("s1", bt, "in_service")))
+	<-overs[0]
+	assert.Equal(t, 200, r.status(ask("3", "GET", "look", "")))
+	assert.EqualValues(t, 1, b.requests.Load())
+	r.loop.post(listLost{watch: r.loop.list.current + 1}) // a word of no watch in force
+	reload(d[0].Addr().String(), nil)
+	assert.Equal(t, "/discovery/hosts?watch=1", (<-d[0].seen).RequestURI, "and back")
+	assert.EqualValues(t, 2, d[0].requests.Load())
+	assert.EqualValues(t, 1, d[1].requests.Load())
+	assert.Zero(t, c.listLost.Load())
+}
+
 // News that came while the process stood still must be read before its watch is held for silent.
 func TestNewsUnreadInTime(t *testing.T) {
 	d := newStandIn(t, say(fine, true))
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -59,6 +59,7 @@
 		watch int
 		cause error
 	}
+	moved struct{ discovery string } // the configuration names another
 )
 
 // alarm is a timer of the module or, with an exchange, the moment by which that must have its answer.
@@ -267,7 +268,7 @@
 }
 
 func (e listing) happen(l *loop) {
-	if !e.fromDisk && e.watch != l.list.current {
+	if !e.fromDisk && !l.list.believes(e.watch) {
 		return
 	}
 	if e.full {
@@ -289,7 +290,9 @@
 			l.up.list(id, "", false)
 		}
 	}
-	l.list.version = e.version
+	if e.fromDisk || e.watch == l.list.current {
+		l.list.version = e.version
+	}
 	l.module.ListEnds(e.fromDisk)
 	l.counters.lists.Add(1)
 	l.counters.listVersion.Store(e.version)
@@ -301,11 +304,18 @@
 	if e.watch != l.list.current {
 		return
 	}
+	l.list.live = false
 	l.counters.listLost.Add(1)
 	l.log.Info("watch ended", zap.Error(e.cause))
 	l.module.ListFailed()
 }
 
+func (e moved) happen(l *loop) {
+	if l.list.move(e.discovery) {
+		l.Watch()
+	}
+}
+
 // ---- what the module asks for
 
 // Send starts a leg; whatever becomes of it, one legOver comes back.
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -43,6 +43,7 @@
 	connect, idleClose      logic.Millis
 	grace                   logic.Millis  // past the abandon time in which an answer still counts
 	silence                 time.Duration // of discovery, after which the watch has ended
+	lasting                 string        // limits and settings as written: they hold until a restart
 }
 
 // Read decodes the file at path.
@@ -80,6 +81,10 @@
 		connect:   terms.Millis(settings.Get("allowed"), "connect-timeout"),
 		idleClose: terms.Millis(settings.Get("allowed"), "idle-close"), silence: silence,
 	}
+	s.lasting = string(settings.MarshalTo(nil))
+	if limits != nil {
+		s.lasting += string(limits.MarshalTo(nil))
+	}
 	for _, addr := range []string{s.Listen, s.Discovery} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("listen or discovery: %w", err)
@@ -139,8 +144,8 @@
 	debug.SetGCPercent(200)
 }
 
-// Serve runs until ctx ends (SIGTERM) and all that was taken is answered.
-func (s *Start) Serve(ctx context.Context, log *zap.Logger) error {
+// Serve runs until ctx ends (SIGTERM) and all that was taken is answered. At each again (SIGHUP) it reads anew.
+func (s *Start) Serve(ctx context.Context, log *zap.Logger, again <-chan os.Signal, read func() (*Start, error)) error {
 	s.limit()
 	ln, err := listen(ctx, s.Listen)
 	if err != nil {
@@ -152,11 +157,36 @@
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	srv := s.assemble(life, log)
+	go s.follow(life, srv, again, read)
 	err = s.serve(ctx, srv, ln)
 	log.Info("ends", srv.counters.fields(srv.sockets)...)
 	return err
 }
 
+// follow takes over a new discovery from the file whenever it is told to, also while the process ends. A file that can't
+// be used changes nothing: an end on SIGHUP would be a crash.
+func (s *Start) follow(ctx context.Context, srv *front, again <-chan os.Signal, read func() (*Start, error)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-again:
+		}
+		fresh, err := read()
+		if err != nil {
+			srv.counters.reloadFaults.Add(1)
+			srv.log.Error("the new configuration can't be used; the old one stays", zap.Error(err))
+			continue
+		}
+		srv.counters.reloads.Add(1)
+		srv.log.Info("configuration read anew", zap.String("discovery", fresh.Discovery))
+		if fresh.Listen != s.Listen || fresh.lasting != s.lasting {
+			srv.log.Warn("another listen, limits or settings wait for a restart")
+		}
+		srv.loop.post(moved{fresh.Discovery})
+	}
+}
+
 // listen waits for an address that the process before this one has not let go of yet.
 func listen(ctx context.Context, addr string) (*net.TCPListener, error) {
 	for began := time.Now(); ; {
