An endpoint that fails one product twice in a row rests for that product alone

A probe that logged each failed leg with its product: 20 to 25 legs a second of one product, and of no other, ran out of time, at four of eight endpoints, 350 ms each, while those four answered the other products within 15 ms. So seven or eight legs were always out for nothing, as many as all rooms hold together (rooms at their least of one, times 1.3), and everything else queued and was dismissed. Ruled out: overload (the same load is served in 13 ms before and after), the sockets (a median of 0.2 ms to the first leg), new endpoints being cold (the rule's budget was not reached), the whole product failing (the other four serve it). At fault: pick() knew only an endpoint's whole record; fine answers of the other products reset lost and doubt at once, and a leg that a copy beat elsewhere ended as Cancelled and counted for nothing.

- seen.of keeps a streak by product: errors, resets, time-outs, and legs silent until a copy elsewhere was answered.
From two on the endpoint rests for that product, longer each time; one leg then tries; one answer ends it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,11 +52,10 @@
 	roomRise, roomFall        = 0.02, 0.8  // a room's growth at an answer in time; what a late one leaves of it
 	usualAtStart              = 0.25       // of the shortest expected time
 	usualMemory               = 30000.0    // milliseconds over which a product's usual time is averaged
-	slowTail                  = 2.5        // an endpoint's high quantile over its fellows' that is a fault
-	tailQuantile, tailStep    = 0.9, 0.08
 	doubtAt, trustAt          = 0.25, 0.8  // share of bad outcomes that is doubtful; draw that gives a trial
 	coldMargin                = 0.4        // of the fall multiple that all sidecars together may use
 	retryEarn, retryMost      = 0.15, 12.0 // further legs that an exchange's end earns; held at the most
+	restShare, restMost       = 0.25, 7    // of the longest expected time: a rest, doubled so many times
 	failGain                  = 0.05       // of a leg in the share of its product's legs that fail
 	rememberShare, queueShare = 0.8, 0.12  // of the time a group remembers; of the time left that may be queued
 	shareSlack, lostCopies    = 1.1, 0.3   // on a tenant's share; share of lost legs that is everybody's trouble
@@ -79,19 +78,25 @@
 
 // seen is what was learned of an endpoint's process.
 type seen struct {
-	weight     float64
-	tail       float64 // high quantile of answer times over the product's usual
-	room       float64 // legs it may have
-	braked     Millis  // when room last fell; 0 before
-	good, bad  float64 // fading counts of outcomes
-	doubted    bool
-	tokens     float64 // cold budget, in exchanges of mean work
-	fine, lost Millis  // last answer in time, last leg that was lost
+	weight, room float64 // room: legs it may have
+	braked       Millis  // when room last fell; 0 before
+	good, bad    float64 // fading counts of outcomes
+	doubted      bool
+	tokens       float64 // cold budget, in exchanges of mean work
+	fine, lost   Millis  // last answer in time, last leg that was lost
+	of           []streak
+}
+
+// streak is how often in a row an endpoint failed one product, which it may do while it serves the others.
+type streak struct {
+	length       int
+	ended, until Millis // last counted, and when a leg may try again
 }
 
 // product is a Product with what decisions use.
 type product struct {
 	Product
+	place       int
 	usual, best float64 // mean time of a satisfied leg: of late, and the least so far
 	failing     float64 // share of its legs that fail, wherever they go: no endpoint's fault
 	answers     float64
@@ -140,28 +145,24 @@
 	Outgoing
 	now  Millis
 	dice uint64
-
 	// From the terms.
 	zone                                                ZoneID
 	products                                            []product
 	unknown                                             product
-	tenants                                             []float64 // share of each
+	tenants, admitted                                   []float64 // share of each; fading counts
 	overShare, fleet, coldFrom, awayOdds                float64
-	coldRate                                            float64 // legs to a cold endpoint over its capacity
+	coldRate, roomLeast, fade                           float64 // coldRate: legs over capacity
 	maxLegs                                             int
 	copies, cancels, mustAsk                            bool
 	advice                                              Millis // the longest that clients heed; 0 for none
 	askFirst, askMost, cold, fall, beat, slack, lasting Millis
-	roomLeast                                           float64
-	fade                                                float64 // what a beat leaves of an old count
 
 	// The list.
-	endpoints []*endpoint // in the order first heard of
-	known     map[EndpointID]*endpoint
-	ready     []*endpoint
-	odds      []float64 // of the ready ones, in a pick
-	sizes     float64   // of the ready ones
-	askWait   Millis
+	endpoints, ready []*endpoint // in the order first heard of
+	known            map[EndpointID]*endpoint
+	odds             []float64 // of the ready ones, in a pick
+	sizes            float64   // of the ready ones
+	askWait          Millis
 
 	// Exchanges in hand.
 	places, free, queue []*exchange
@@ -170,16 +171,12 @@
 
 	// What was learned.
 	recent, sorted                                 [recentLength]float64 // latencies of satisfied legs
-	samples, timerAt                               int
-	timer, ratioAt                                 Millis
+	samples, timerAt, part                         int
+	timer, ratioAt, shutUntil                      Millis
 	window                                         [windowParts]struct{ copies, ended float64 }
-	part                                           int
 	ratio, retries, usual, sent, rate, admittedAll float64
 	lost, lostLong                                 float64 // shares of lost legs, of late and for longer
-	shutUntil                                      Millis
-	usualRank, tail, rooms, strange                float64   // strange: draw of an endpoint that is not familiar
-	crowding                                       float64   // fading share of beats with a queue or shedding
-	admitted                                       []float64 // fading count of each tenant's exchanges
+	usualRank, rooms, strange, crowding            float64 // strange: draw of who is not familiar
 	mostDoubt, crowded                             bool
 }
 
@@ -189,7 +186,7 @@
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
 		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel,
-		mustAsk: t.MustAsk, strange: 1, tail: slowTail,
+		mustAsk: t.MustAsk, strange: 1,
 		askFirst: t.AskWithin * listBackoff, askMost: t.AskWithin * listBackMost,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
@@ -197,9 +194,9 @@
 	}
 	b.askWait, b.roomLeast = b.askFirst, math.Min(roomLeast/b.fleet, 1)
 	shortest, longest := Millis(math.Inf(1)), Millis(0)
-	for _, p := range t.Products {
+	for n, p := range t.Products {
 		b.products = append(b.products,
-			product{Product: p, usualAt: now, usual: math.Max(float64(p.Expected)*usualAtStart, 1)})
+			product{Product: p, place: n, usualAt: now, usual: math.Max(float64(p.Expected)*usualAtStart, 1)})
 		if p.Expected > 0 {
 			shortest, longest = min(shortest, p.Expected), max(longest, p.Expected)
 		}
@@ -208,7 +205,7 @@
 		shortest, longest = 1000, 1000
 	}
 	b.unknown = product{Product: Product{Value: 1, Overdue: 1, Expected: longest}, usualAt: now,
-		usual: float64(longest) * usualAtStart}
+		place: len(t.Products), usual: float64(longest) * usualAtStart}
 	b.beat, b.usual, b.lasting = shortest*beatShare, float64(shortest)*usualAtStart, longest
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
 	b.Wake(b.beat, 0)
@@ -255,7 +252,8 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.seen = seen{weight: weightMost, tail: b.tail, room: math.Min(b.roomLeast*(1+b.roomLeast), 1)}
+	e.seen = seen{weight: weightMost, room: math.Min(b.roomLeast*(1+b.roomLeast), 1)}
+	e.of = make([]streak, len(b.products)+1)
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 	if n := float64(len(b.ready)); n > 0 {
 		e.weight = 0
@@ -377,6 +375,9 @@
 	if b.isCold(e) {
 		e.tokens -= b.effort(x)
 	}
+	if s := &e.of[x.product.place]; s.length >= 2 {
+		s.until = max(s.until, b.now+b.lasting) // one leg tries, the others wait for what becomes of it
+	}
 	if len(x.legs) == 0 && x.tenant >= 0 && int(x.tenant) < len(b.admitted) {
 		b.admitted[x.tenant]++
 		b.admittedAll++
@@ -581,7 +582,7 @@
 		part := b.capacityNow(e)
 		b.rooms += e.room * part // a cold server's room is not there yet
 		b.odds[i] = 0
-		if e.legs > 0 && float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || !b.trusts(x, e) {
+		if e.legs > 0 && float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
 			continue
 		}
 		odds := e.weight * e.size * part
@@ -651,6 +652,13 @@
 	return good/(good+bad) > trustAt
 }
 
+// rests: it failed this product twice in a row, and is not tried again yet, if there is one that did not.
+func (b *Balancer) rests(x *exchange, e *endpoint) bool {
+	s, p := e.of[x.product.place], x.product.place
+	return s.length >= 2 && b.now < s.until &&
+		slices.ContainsFunc(b.ready, func(o *endpoint) bool { return o.of[p].length < 2 })
+}
+
 func (b *Balancer) gamma(k int) float64 {
 	p := 1.0
 	for ; k > 0; k-- {
@@ -716,6 +724,12 @@
 func (b *Balancer) account(x *exchange, l *leg, o Outcome, took float64) {
 	e := l.to
 	b.weigh(x, l, o, took)
+	if s := &e.of[x.product.place]; o == Satisfied {
+		*s = streak{}
+	} else if o >= Errored && !l.neverRan && (o != Cancelled || l.lost) && l.sent >= s.ended {
+		s.length, s.ended = s.length+1, b.now
+		s.until = b.now + b.lasting*Millis(restShare*math.Exp2(float64(min(s.length, restMost))))
+	}
 	switch o {
 	case Satisfied:
 		e.weight = math.Min(e.weight+weightRise, weightMost)
@@ -743,25 +757,15 @@
 	}
 	p := x.product
 	p.answers++
-	r := took / math.Max(p.usual, 0.001)
 	gain := math.Max(1/(p.answers+2), math.Min(float64(b.now-p.usualAt)/usualMemory, 1))
 	p.usual, p.usualAt = p.usual+gain*(took-p.usual), b.now
 	if p.answers <= copyFloor || p.usual < p.best {
 		p.best = p.usual
 	}
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
-	e.tail, b.tail = toward(e.tail, r), toward(b.tail, r)
 	e.good++
 }
 
-// toward steps from a high quantile of answer times by what one more answer says.
-func toward(tail, r float64) float64 {
-	if r > tail {
-		return tail * (1 + tailStep*tailQuantile)
-	}
-	return tail * (1 - tailStep*(1-tailQuantile))
-}
-
 // weigh books how long a leg took or is out already: silence counts before any time-out runs out.
 func (b *Balancer) weigh(x *exchange, l *leg, o Outcome, took float64) {
 	expected, best := float64(x.product.Expected), x.product.best
@@ -863,10 +867,6 @@
 	}
 	for _, e := range b.ready {
 		e.good, e.bad = e.good*b.fade, e.bad*b.fade
-		if e.tail > slowTail*b.tail {
-			e.bad = math.Max(e.bad, 1+doubtAt*2*e.good)
-		}
-		e.tail += (1 - b.fade) * (b.tail - e.tail) // what is not asked is not condemned for ever
 		if b.isCold(e) {
 			own := b.rate * e.size / math.Max(b.sizes, 0.01)
 			allowed := b.coldRate * b.capacityNow(e) * math.Max(own, 0.5/b.usual/b.fleet)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -643,3 +643,51 @@
 	assert.Empty(t, b.known)
 	assert.Nil(t, b.known[to])
 }
+
+// An endpoint may hang on one product and serve the others well: it rests for that product alone, tried again by one leg at
+// a time, and not when nobody else serves it either.
+func TestRestsForOneProduct(t *testing.T) {
+	b, r := begin("ab")
+	ids := 0
+	spread := func(p ProductID, o Outcome) map[EndpointID]int {
+		got := map[EndpointID]int{}
+		for range 40 {
+			ids++
+			x := ExchangeID(fmt.Sprint(ids))
+			to := arrive(b, r, x, p)
+			got[to]++
+			if to == "a" {
+				b.Ended(x, 0, o, 5, true)
+			} else {
+				b.Ended(x, 0, Satisfied, 5, true)
+			}
+		}
+		return got
+	}
+	assert.NotZero(t, spread(farReaching, Satisfied)["a"])
+	b.known["a"].of[farReaching] = streak{length: 1}
+	arrive(b, r, "lost", farReaching)
+	for b.open["lost"].legs[0].to.id != "a" {
+		b.Left("lost")
+		b.Ended("lost", 0, Cancelled, 0, true)
+		arrive(b, r, "lost", farReaching)
+	}
+	b.At(b.now + 950)
+	b.Alarm(0)                               // it is silent for too long,
+	b.Ended("lost", 0, Cancelled, 950, true) // and a copy elsewhere came first
+	b.known["a"].doubted = false
+	assert.Zero(t, spread(farReaching, Satisfied)["a"], "at rest")
+	b.known["a"].lost = 0
+	assert.NotZero(t, spread(singleUse, Satisfied)["a"], "not for the others")
+	b.known["b"].of[farReaching] = streak{length: 2, until: b.now + 1000}
+	assert.False(t, b.rests(&exchange{product: &b.products[farReaching]}, b.known["a"]), "nobody else serves it")
+	b.known["b"].of[farReaching] = streak{}
+	b.known["a"].of[farReaching] = streak{length: 2, until: b.now}
+	tries := 0
+	for n := range 40 {
+		if arrive(b, r, ExchangeID(fmt.Sprint("t", n)), farReaching) == "a" {
+			tries++
+		}
+	}
+	assert.LessOrEqual(t, tries, 1, "one leg tries, the others wait for what becomes of it")
+}
