--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -20,6 +20,7 @@
 	slowTime   = 500 * time.Millisecond  // who has not sent a whole request by then gives way last
 	turnedTime = 400 * time.Millisecond  // for what is left of a request that is not taken
 	headFirst  = 1 << 10                 // bytes: room for a usual head
+	headSlack  = 6 << 10                 // beyond headMost, so that net/http is sure to find a head too long
 )
 
 // phase is what a connection of a client does.
@@ -113,7 +114,9 @@
 	}
 	n = copy(p, c.buf[:c.clear])
 	c.buf = append(c.buf[:0], c.buf[n:]...)
-	c.clear -= n
+	if c.clear -= n; len(c.buf) == 0 && cap(c.buf) > headFirst {
+		c.buf = nil // a long head's room is not kept as long as the connection
+	}
 	return n, nil
 }
 
@@ -135,7 +138,7 @@
 		if end := headEnd(c.buf); end > 0 {
 			return c.judge(end)
 		}
-		if len(c.buf) > 2*headMost {
+		if len(c.buf) > headMost+headSlack {
 			c.clear, c.last = len(c.buf), true // net/http answers 431
 			return nil
 		}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -432,6 +432,7 @@
 		return
 	}
 	delete(l.open, x.id)
+	x.request, x.legs = request{}, nil // the alarm of its abandon time keeps x, and would keep the body as long
 	delete(l.past, l.pastRing[l.pastNext])
 	l.pastRing[l.pastNext] = x.id
 	l.past[x.id] = true
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -96,7 +96,7 @@
 	complaints, _ := zap.NewStdLogAt(s.log, zap.WarnLevel)
 	return &http.Server{
 		Handler: s, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: headMost,
-		ErrorLog: complaints,
+		ErrorLog: complaints, DisableGeneralOptionsHandler: true, // which answers OPTIONS * with 200
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, clientKey{}, c)
 		},
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -188,6 +188,7 @@
 		{"timeout below 0", strings.Replace(ask("1", "GET", "look", ""), "900m", "-900m", 1), 400},
 		{"no number", strings.Replace(ask("1", "GET", "look", ""), "900m", "NaNm", 1), 400},
 		{"endless", strings.Replace(ask("1", "GET", "look", ""), "900m", "Infm", 1), 400},
+		{"options of all", strings.Replace(ask("1", "OPTIONS", "look", ""), "/look", "*", 1), 405},
 		{"other method", ask("1", "DELETE", "look", ""), 405},
 		{"long body", ask("1", "POST", "buy", fmt.Sprintf("Content-Length: %d\r\n", bodyMost+1)), 413},
 		{"long body in chunks", strings.TrimSuffix(ask("1", "POST", "buy", chunked), "\r\n"), 413},
@@ -545,6 +546,18 @@
 	assert.Contains(t, []int{503, 504}, a.status)
 }
 
+// An exchange that is over keeps no body, though the alarm of its abandon time is still to come.
+func TestBodyLetGo(t *testing.T) {
+	r := begin(t, known(newStandIn(t, say(fine, true))), nil)
+	x := &exchange{id: "1", abandon: r.loop.at(time.Now()) + 60000, answer: make(chan answer, 1), request: request{
+		method: "POST", head: []byte("POST /buy HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"), body: []byte("hello")}}
+	r.loop.post(arrival{x})
+	assert.Equal(t, 200, (<-x.answer).status)
+	kept := make(chan bool)
+	r.loop.post(probe(func(l *loop) { kept <- x.request.body != nil || x.legs != nil || l.open["1"] != nil }))
+	assert.False(t, <-kept)
+}
+
 // All troubles at once: each exchange gets one answer in time, and no effect comes twice or after a dismissal.
 func TestRulesHoldInTrouble(t *testing.T) {
 	var mu sync.Mutex
