--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	readTime   = 2500 * time.Millisecond // from connecting, or a request's first byte, to its last; 3 s are owed
-	idleTime   = 5 * time.Second         // a client asks once more on a new connection if its request crosses the close
-	freshTime  = 100 * time.Millisecond  // who said nothing for so long gives way first
-	slowTime   = 500 * time.Millisecond  // who has not sent a whole request by then gives way last
-	turnedTime = 400 * time.Millisecond  // for what is left of a request that is not taken
-	headFirst  = 1 << 10                 // bytes: room for a usual head
-	headSlack  = 6 << 10                 // beyond headMost, so that net/http is sure to find a head too long
+	readTime   = 2 * time.Second        // from connecting, or a request's first byte, to its last; 3 s are owed
+	idleTime   = 2 * time.Second        // no less is allowed; clients may hold a third of our descriptors, kept ones too
+	freshTime  = 100 * time.Millisecond // who said nothing for so long gives way first
+	slowTime   = 500 * time.Millisecond // who has not sent a whole request by then gives way last
+	turnedTime = 400 * time.Millisecond // for what is left of a request that is not taken
+	headFirst  = 1 << 10                // bytes: room for a usual head
+	headSlack  = 6 << 10                // beyond headMost, so that net/http is sure to find a head too long
 )
 
 // phase is what a connection of a client does.
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -70,6 +70,7 @@
 	changed       *sync.Cond
 	began         time.Time
 	usable, spare int
+	keep          int // clients' connections up to which they are kept after an answer
 	upstream      int
 	clients       map[*client]struct{}
 	dropIdle      func() bool // closes one idle upstream connection
@@ -81,7 +82,7 @@
 
 func newSockets(limit int, c *Counters) *sockets {
 	s := &sockets{
-		began: time.Now(), spare: limit / 16, dropIdle: func() bool { return false }, counters: c,
+		began: time.Now(), spare: limit / 16, keep: limit / 6, dropIdle: func() bool { return false }, counters: c,
 		clients: map[*client]struct{}{},
 	}
 	s.usable = max(limit-fixedSockets-s.spare, 2)
@@ -97,6 +98,20 @@
 	return len(s.clients), s.upstream
 }
 
+// crowded tells that an answer should close its connection. An application may hold a third of our descriptors: with that
+// many connections idle, left behind by those who ask once and stay, its next requests would find none to go out on.
+func (s *sockets) crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	heard := 0
+	for c := range s.clients {
+		if phase(c.phase.Load()) != fresh {
+			heard++
+		}
+	}
+	return heard > s.keep
+}
+
 func (s *sockets) full(most int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -138,7 +138,7 @@
 		}
 	}()
 	// Behind a body in chunks, or by the old protocol, nothing is read that might have been hidden in it.
-	if s.until.Load() != nil || len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+	if s.until.Load() != nil || s.sockets.crowded() || len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
 		w.Header().Set("Connection", "close")
 	}
 	if r.Header.Get("Request-Id") == "" && r.Method == http.MethodGet {
