A watch that stops inside a line, or is silent for over a beat, is asked again

Probe: failed legs by address and product, times of the log against the list's. Ruled out: the endpoints still there, one product, the calls to discovery (each new one is answered). At fault: discovery.go waited 4.25 s (silence) for the rest of a half line, and then took the half for the line.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -23,7 +23,8 @@
 
 const (
 	beat      = 2 * time.Second
-	silence   = 2*beat + beat/8 // over two beats, but well under the 6 s after which news count as told
+	silence   = beat + beat/4 // over a beat, and early enough to ask again before news count as told
+	lineTime  = beat / 4      // from part of a line to more of it
 	listMost  = 4 << 20
 	lateReads = 16
 	dialLast  = time.Second // news of a new discovery count as told 4 s after SIGHUP: there must be time for two more
@@ -170,9 +171,14 @@
 
 // hearing reads what discovery says. A process that stood still for a while finds its time over and news unread, which
 // count as told: a drain in them would be broken, were they thrown away with the watch.
+//
+// A line that began must go on at once. A discovery that stops in the middle of one would keep its news for as long as
+// one that has none, though they are there to be asked for.
 type hearing struct {
 	net.Conn
-	late int // reads past their time since the last line
+	silence time.Duration
+	late    int  // reads past their time since the last line
+	started bool // the last read ended inside a line
 }
 
 func (h *hearing) Read(p []byte) (int, error) {
@@ -182,10 +188,17 @@
 		h.SetReadDeadline(time.Now().Add(beat / 200))
 		n, err = h.Conn.Read(p)
 	}
+	if n > 0 && p[n-1] != '\n' {
+		h.started = true
+		h.SetReadDeadline(time.Now().Add(lineTime))
+	} else if n > 0 && h.started {
+		h.started = false
+		h.SetReadDeadline(time.Now().Add(h.silence))
+	}
 	return n, err
 }
 
-// follow hands on each line of one watch until it ends; a watch that says nothing for over two beats has ended.
+// follow hands on each line of one watch until it ends; a watch that says nothing for over a beat has ended.
 func (d *lists) follow(ctx context.Context, addr string, after int64, each func(inventory)) (err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
@@ -196,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	conn := &hearing{Conn: dialled}
+	conn := &hearing{Conn: dialled, silence: d.silence}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	conn.SetDeadline(time.Now().Add(d.silence))
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -61,6 +61,23 @@
 	}
 }
 
+// A discovery that stops in the middle of a line is asked again long before one that has nothing to tell.
+func TestHalfALine(t *testing.T) {
+	s := newStandIn(t, say(fine, true))
+	d := newStandIn(t, func(c net.Conn, r *http.Request) bool {
+		whole := chunk(known(s))
+		c.Write([]byte(watchHead + whole + whole[:len(whole)/2]))
+		return silent(c, r)
+	})
+	began := time.Now()
+	r := begin(t, known(s), func(start *Start) {
+		start.Discovery, start.silence = d.Addr().String(), time.Hour
+	})
+	assert.Eventually(t, func() bool { return d.requests.Load() >= 2 }, 5*time.Second, time.Millisecond)
+	assert.GreaterOrEqual(t, time.Since(began), lineTime)
+	assert.Equal(t, 200, r.status(ask("1", "GET", "look", "")))
+}
+
 // What a watch tells takes effect on the next exchange.
 func TestWatchTells(t *testing.T) {
 	a, b := newStandIn(t, say(fine, true)), newStandIn(t, say(fine, true))
