--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,33 @@
 	dialled, reused, retired, unframed                                                  atomic.Int64
 	standstills, standstillMs                                                           atomic.Int64
 	lists, listLost, listVersion, endpoints, reloads, reloadFaults                      atomic.Int64
+	avoided, consoleCalls                                                               atomic.Int64
+	classes                                                                             []classCounters
+	noClass                                                                             classCounters
+}
+
+// classCounters are one product's: its answers when they were written to the client, its legs when their last byte was
+// written to an endpoint.
+type classCounters struct{ satisfied, dismissed, forfeited, legs atomic.Int64 }
+
+// class finds a product's figures; what names none has figures that nobody reads.
+func (c *Counters) class(p logic.ProductID) *classCounters {
+	if p >= 0 && int(p) < len(c.classes) {
+		return &c.classes[p]
+	}
+	return &c.noClass
+}
+
+// answered counts what a client was told.
+func (f *classCounters) answered(status int) {
+	switch status {
+	case http.StatusOK:
+		f.satisfied.Add(1)
+	case http.StatusServiceUnavailable:
+		f.dismissed.Add(1)
+	default:
+		f.forfeited.Add(1)
+	}
 }
 
 var outcomeNames = [logic.NotSent + 1]string{
@@ -44,6 +72,7 @@
 		{"upstream_unframed", &c.unframed},
 		{"standstills", &c.standstills}, {"standstill_ms", &c.standstillMs}, {"lists", &c.lists}, {"lists_lost", &c.listLost},
 		{"list_version", &c.listVersion}, {"list_endpoints", &c.endpoints},
+		{"endpoints_avoided", &c.avoided}, {"console_calls", &c.consoleCalls},
 		{"reloads", &c.reloads}, {"reload_faults", &c.reloadFaults},
 	} {
 		visit(f.name, f.n.Load())
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -86,6 +87,9 @@
 	return x
 }
 
+// publishBeat is how old, in milliseconds, what is published may grow while the loop runs.
+const publishBeat = 50
+
 // rememberedIDs are the ids of finished exchanges, by which one that comes again is known.
 const rememberedIDs = 4096
 
@@ -106,18 +110,26 @@
 	loaded    atomic.Bool
 	up        *upstream
 	list      *lists
+	hands     *hands
+	urgent    struct {
+		sync.Mutex
+		events []event
+		some   chan struct{}
+	}
+	published logic.Millis // when the module's view was last left for others to read
 	counters  *Counters
 	log       *zap.Logger
 	ctx       context.Context
 }
 
 // newLoop starts the module, which may ask for timers and the watch at once; the disk's list comes before all else.
-func newLoop(ctx context.Context, t logic.Terms, known *inventory, up *upstream, d *lists, c *Counters,
-	log *zap.Logger) *loop {
+func newLoop(ctx context.Context, t logic.Terms, known *inventory, up *upstream, d *lists, h *hands,
+	c *Counters, log *zap.Logger) *loop {
 	l := &loop{
 		queue: make(chan event, 4096), started: time.Now(), open: map[logic.ExchangeID]*exchange{},
-		past: map[logic.ExchangeID]bool{}, up: up, list: d, counters: c, log: log, ctx: ctx,
+		past: map[logic.ExchangeID]bool{}, up: up, list: d, hands: h, counters: c, log: log, ctx: ctx,
 	}
+	l.urgent.some = make(chan struct{}, 1)
 	l.startedMs = float64(l.started.UnixNano()) / 1e6
 	l.now = l.clock()
 	if known != nil {
@@ -125,6 +137,15 @@
 		l.queue <- listing{inventory: *known, fromDisk: true}
 	}
 	l.module = logic.New(t, l, l.now)
+	for _, id := range h.bans() {
+		said{logic.EndpointID(id), true}.happen(l)
+	}
+	h.tell = func(id string, out bool) {
+		if out {
+			up.byHand(logic.EndpointID(id), true) // at once, whatever waits before it in the queue
+		}
+		l.postFirst(said{logic.EndpointID(id), out})
+	}
 	return l
 }
 
@@ -146,15 +167,50 @@
 		case e := <-l.queue:
 			l.tick()
 			l.guarded(exchangeOf(e), func() { e.happen(l) })
+		case <-l.urgent.some:
 		case <-wake.C:
 		}
+		l.first()
 		l.due()
+		l.publish()
 		if len(l.timers) > 0 {
 			wake.Reset(max(span(l.timers[0].at-l.clock()), 0))
 		}
 	}
 }
 
+// postFirst hands over what must not wait behind the queue, and never waits itself.
+func (l *loop) postFirst(e event) {
+	l.urgent.Lock()
+	l.urgent.events = append(l.urgent.events, e)
+	l.urgent.Unlock()
+	select {
+	case l.urgent.some <- struct{}{}:
+	default:
+	}
+}
+
+func (l *loop) first() {
+	l.urgent.Lock()
+	events := l.urgent.events
+	l.urgent.events = nil
+	l.urgent.Unlock()
+	if len(events) > 0 {
+		l.tick()
+	}
+	for _, e := range events {
+		l.guarded(nil, func() { e.happen(l) })
+	}
+}
+
+// publish leaves for others what only the module knows.
+func (l *loop) publish() {
+	if l.now-l.published >= publishBeat {
+		l.published = l.now
+		l.counters.avoided.Store(int64(l.module.Avoided()))
+	}
+}
+
 func (l *loop) tick() {
 	l.now = l.clock()
 	l.module.At(l.now)
@@ -298,6 +354,7 @@
 		} else {
 			l.up.list(id, s.addr, health == logic.Running)
 			l.list.mark(id)
+			l.hands.listed(s.id)
 		}
 		l.module.Listed(id, health, l.list.zones.Zone([]byte(s.zone)), s.cell, s.weight, s.started)
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -37,6 +37,8 @@
 	sockets  *sockets
 	counters *Counters
 	log      *zap.Logger
+	open     atomic.Bool               // the door takes clients
+	inHand   atomic.Int64              // requests taken and not ended, answers on their way included
 	until    atomic.Pointer[time.Time] // once ending: nobody waits longer, and after it nothing is taken
 	newest   atomic.Int64              // when an exchange was last taken, nanoseconds after the loop started
 	pace     pace
@@ -89,6 +91,11 @@
 	}
 }
 
+// serves tells whether an exchange that comes now would find all it needs.
+func (s *front) serves() bool {
+	return s.open.Load() && s.loop.loaded.Load() && s.until.Load() == nil
+}
+
 type clientKey struct{}
 
 // httpServer wires net/http to it.
@@ -122,7 +129,7 @@
 	}
 	http.NewResponseController(w).SetWriteDeadline(came.Add(takeTime))
 	var x *exchange
-	wrote := false
+	wrote, class := false, logic.ProductID(-1)
 	defer func() {
 		if fault := recover(); fault != nil {
 			s.counters.panics.Add(1)
@@ -135,6 +142,7 @@
 			}
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusBadGateway)
+			s.counters.class(class).answered(http.StatusBadGateway)
 		}
 	}()
 	// Behind a body in chunks, or by the old protocol, nothing is read that might have been hidden in it.
@@ -165,6 +173,8 @@
 			return
 		}
 	}
+	s.inHand.Add(1)
+	defer s.inHand.Add(-1)
 	var status int
 	var why string
 	if x, status, why = s.read(w, r, came); x == nil {
@@ -180,6 +190,7 @@
 		s.turnAway(w, r)
 		return
 	}
+	class = x.request.class // the loop owns the rest from here on
 	s.newest.Store(int64(time.Since(s.loop.started)))
 	s.loop.post(arrival{x})
 	select {
@@ -187,6 +198,7 @@
 		wrote = true
 		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(takeTime))
 		a.write(w)
+		s.counters.class(class).answered(a.status)
 	case <-r.Context().Done():
 		s.loop.post(departure{x})
 		// Net/http answers 200 for a handler that says nothing, and one that closed its sending only would take that
@@ -198,6 +210,10 @@
 // turnAway answers what there is no room to take in: read first, or the client would find its connection broken.
 func (s *front) turnAway(w http.ResponseWriter, r *http.Request) {
 	s.counters.turnedAway.Add(1)
+	if len(r.Header["Request-Id"]) == 1 {
+		p, _, _ := s.product(r)
+		s.counters.class(p).answered(http.StatusServiceUnavailable)
+	}
 	hangUpAfter(w)
 	io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost))
 	w.Header().Set("Retry-After", comeBack)
@@ -223,7 +239,7 @@
 // read makes an exchange of a request, or says why it is none.
 func (s *front) read(w http.ResponseWriter, r *http.Request, came time.Time) (x *exchange, status int, why string) {
 	id, wait := r.Header.Values("Request-Id"), duration(r.Header.Values("Request-Timeout"))
-	product, named := s.product(r)
+	class, product, named := s.product(r)
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodPost:
 		return nil, http.StatusMethodNotAllowed, "GET and POST only"
@@ -281,28 +297,28 @@
 	return &exchange{
 		id: logic.ExchangeID(id[0]), product: product, tenant: s.names.Tenant([]byte(r.Header.Get("Tenant"))),
 		abandon: s.loop.at(sent) + wait, answer: make(chan answer, 1),
-		request: request{method: r.Method, head: head.Bytes(), body: body},
+		request: request{method: r.Method, class: class, head: head.Bytes(), body: body},
 	}, 0, ""
 }
 
 // product is named by class and path. It is taken for unknown, and so for single-use, unless the method agrees too: what is
 // repeated by mistake has two effects.
-func (s *front) product(r *http.Request) (p logic.ProductID, named bool) {
+func (s *front) product(r *http.Request) (class, p logic.ProductID, named bool) {
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	class := first
+	name := first
 	if list := r.Header["Request-Class"]; len(list) > 0 {
-		class = list[0]
+		name = list[0]
 	}
-	p = s.names.Product([]byte(class))
-	if p < 0 || class != first || len(r.Header["Request-Class"]) > 1 {
-		return -1, false
+	p = s.names.Product([]byte(name))
+	if p < 0 || name != first || len(r.Header["Request-Class"]) > 1 {
+		return -1, -1, false
 	}
 	switch effect := s.products[p].Effect; {
 	case effect == logic.Replayable && r.Method != http.MethodGet,
 		effect == logic.Referenced && (len(r.Header["Idempotency-Key"]) != 1 || r.Header.Get("Idempotency-Key") == ""):
-		return -1, true
+		return p, -1, true
 	}
-	return p, true
+	return p, p, true
 }
 
 // longest is how long the product's clients wait at the most; for an unknown one, that of any.
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -34,6 +34,8 @@
 // Start is all that a sidecar is told.
 type Start struct {
 	Name, Listen, Discovery string
+	Console                 string // "" for none
+	dir                     string // where a file outlasts the process; "" for none
 	Cores                   float64
 	MemoryMB, Sockets       int
 	terms                   logic.Terms
@@ -56,6 +58,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if addr := os.Getenv("RELAY_CONSOLE"); addr != "" {
+		s.Console = addr // of this start; the file may be older
+	}
+	if s.Console != "" {
+		if _, _, err := net.SplitHostPort(s.Console); err != nil {
+			return nil, fmt.Errorf("console: %w", err)
+		}
+		s.dir = os.Getenv("TMPDIR")
+	}
 	return s, nil
 }
 
@@ -75,7 +86,7 @@
 	}
 	s := &Start{
 		Name: string(v.GetStringBytes("name")), Listen: string(v.GetStringBytes("listen")),
-		Discovery: string(v.GetStringBytes("discovery")), Cores: limits.GetFloat64("cores"),
+		Discovery: string(v.GetStringBytes("discovery")), Console: string(v.GetStringBytes("console")), Cores: limits.GetFloat64("cores"),
 		MemoryMB: limits.GetInt("memory_mb"), Sockets: limits.GetInt("sockets"),
 		grace:     terms.Millis(settings.Get("guarantees"), "grace-to-answer"),
 		connect:   terms.Millis(settings.Get("allowed"), "connect-timeout"),
@@ -100,8 +111,8 @@
 	if s.Sockets == 0 {
 		s.Sockets = 1024
 	}
-	if s.Sockets < 2*fixedSockets {
-		return nil, fmt.Errorf("limits: %d sockets are needed", 2*fixedSockets)
+	if least := 2*fixedSockets + callersMost*min(len(s.Console), 1); s.Sockets < least {
+		return nil, fmt.Errorf("limits: %d sockets are needed", least)
 	}
 	if s.MemoryMB == 0 {
 		s.MemoryMB = 192
@@ -158,6 +169,16 @@
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	srv := s.assemble(life, log)
+	if s.Console != "" {
+		at, err := listen(ctx, s.Console)
+		if err != nil {
+			return fmt.Errorf("console: %w", err)
+		}
+		desk := &console{front: srv, hands: srv.loop.hands, log: log}
+		web := desk.httpServer()
+		defer web.Close()
+		go desk.serve(web, at)
+	}
 	go s.follow(life, srv, again, read)
 	err = s.serve(ctx, srv, ln)
 	log.Info("ends", srv.counters.fields(srv.sockets)...)
@@ -204,10 +225,15 @@
 
 // assemble starts all parts but the listener's; they end with ctx.
 func (s *Start) assemble(ctx context.Context, log *zap.Logger) *front {
-	counters := &Counters{}
-	books := newSockets(s.Sockets, counters)
+	counters := &Counters{classes: make([]classCounters, len(s.terms.Products))}
+	limit := s.Sockets
+	if s.Console != "" {
+		limit -= callersMost
+	}
+	books := newSockets(limit, counters)
 	up := newUpstream(s.connect, s.idleClose, books, counters)
-	l := newLoop(ctx, s.terms, s.known, up, newLists(s.Discovery, s.silence, s.names), counters, log)
+	l := newLoop(ctx, s.terms, s.known, up, newLists(s.Discovery, s.silence, s.names),
+		newHands(s.Console, s.dir, log), counters, log)
 	l.grace = s.grace / 2
 	srv := &front{
 		loop: l, names: s.names, products: s.terms.Products, sockets: books, counters: counters, log: log,
@@ -219,6 +245,9 @@
 		go srv.telling(ctx)
 	}
 	go srv.keepPace(ctx)
+	if s.Console != "" {
+		go l.hands.watch(ctx)
+	}
 	return srv
 }
 
@@ -226,6 +255,7 @@
 	web := srv.httpServer()
 	failed := make(chan error, 1)
 	go func() { failed <- web.Serve(&door{ln, srv.sockets}) }()
+	srv.open.Store(true)
 	srv.log.Info("serving", zap.String("name", s.Name), zap.String("listen", ln.Addr().String()))
 	select {
 	case err := <-failed:
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -91,14 +91,16 @@
 // request is an exchange's request as endpoints get it.
 type request struct {
 	method string
-	head   []byte // request line and headers, but for the time left and the empty line
+	class  logic.ProductID // by its name, whatever may be done with it
+	head   []byte          // request line and headers, but for the time left and the empty line
 	body   []byte
 }
 
 // endpoint is where one server listens, and what connections to it are idle.
 type endpoint struct {
-	shut atomic.Bool // it drains or is gone: no first byte is written to it
+	shut atomic.Bool // it drains, is gone or out by hand: no first byte is written to it
 	mu   sync.Mutex
+	up   bool // by the list
 	addr string
 	idle []*link // the one used last at the end
 }
@@ -133,6 +135,7 @@
 type upstream struct {
 	mu        sync.Mutex
 	endpoints map[logic.EndpointID]*endpoint
+	out       map[logic.EndpointID]bool // by hand
 	dialTime  time.Duration
 	stall     time.Duration
 	rest      time.Duration
@@ -145,7 +148,7 @@
 
 func newUpstream(connect, idleClose logic.Millis, s *sockets, c *Counters) *upstream {
 	u := &upstream{
-		endpoints: map[logic.EndpointID]*endpoint{}, dialTime: span(connect), retire: span(idleClose * retireShare),
+		endpoints: map[logic.EndpointID]*endpoint{}, out: map[logic.EndpointID]bool{}, dialTime: span(connect), retire: span(idleClose * retireShare),
 		stall: stallTime, rest: restTime, sockets: s, counters: c, dial: (&net.Dialer{KeepAlive: -1}).DialContext,
 	}
 	if u.dialTime > 0 {
@@ -165,9 +168,33 @@
 		e = &endpoint{}
 		u.endpoints[id] = e
 	}
+	out := u.out[id]
 	u.mu.Unlock()
-	e.shut.Store(!running)
+	u.settle(e, addr, running, out)
+}
+
+// byHand takes an endpoint out, or ends that; the list's word stands beside it.
+func (u *upstream) byHand(id logic.EndpointID, out bool) {
+	u.mu.Lock()
+	if out {
+		u.out[id] = true
+	} else {
+		delete(u.out, id)
+	}
+	e := u.endpoints[id]
+	u.mu.Unlock()
+	if e != nil {
+		e.mu.Lock()
+		up := e.up
+		e.mu.Unlock()
+		u.settle(e, "", up, out)
+	}
+}
+
+func (u *upstream) settle(e *endpoint, addr string, running, out bool) {
 	e.mu.Lock()
+	e.up, running = running, running && !out
+	e.shut.Store(!running)
 	var dropped []*link
 	if !running || addr != "" && addr != e.addr {
 		dropped, e.idle = e.idle, nil
@@ -347,6 +374,7 @@
 		stop()
 		return nil, failed(writing, err, g.ctx.Err() != nil)
 	}
+	u.counters.class(g.request.class).legs.Add(1)
 	r, keepOpen, fault := k.read(g)
 	// A connection whose leg was called off or timed out may still carry the late answer: it is not used again.
 	reusable = stop() && keepOpen
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -56,6 +56,9 @@
 // Millis reads a time; absent and null are 0.
 func Millis(v *fastjson.Value, key string) logic.Millis { return logic.Millis(v.GetFloat64(key)) }
 
+// Products are the settings' products by name.
+func (n *Names) Products() map[string]logic.ProductID { return n.products }
+
 // Product is -1 for a name that the settings lack.
 func (n *Names) Product(name []byte) logic.ProductID {
 	if p, known := n.products[string(name)]; known {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,6 +61,7 @@
 	failGain                  = 0.05       // of a leg in the share of its product's legs that fail
 	rememberShare, queueShare = 0.8, 0.12  // of the time a group remembers; of the time left that may be queued
 	shareSlack, lostCopies    = 1.1, 0.3   // on a tenant's share; share of lost legs that is everybody's trouble
+	calledBy                  = 3.0        // fall times in which who was called back earns its first leg
 	awayFall                  = 300.0      // how the draw of other zones falls with the price of the way
 	listBackoff, listBackMost = 0.05, 0.25 // of ask-within: first and longest wait after a failure,
 	listCrowd                 = 3.0        // and how much longer both are in a large fleet
@@ -68,17 +69,24 @@
 
 // endpoint is all that is known of one server.
 type endpoint struct {
-	id                    EndpointID
-	zone                  ZoneID
-	cell                  CellID
-	size                  float64 // as listed
-	readyAt               Millis
-	listed, running, told bool // told: staff know that it is doubtful
-	legs                  int
-	changed               Millis // last change of doubt
+	id                  EndpointID
+	zone                ZoneID
+	cell                CellID
+	size                float64 // as listed
+	readyAt             Millis
+	up, listed, running bool // up: by the list's word; running: and not out by hand
+	told, called        bool // told: staff know that it is doubtful; called: back by hand, no leg since
+	legs                int
+	changed             Millis // last change of doubt
 	seen
 }
 
+// byHand is what staff said of an endpoint. It outlasts the endpoint's entry in the list.
+type byHand struct {
+	out  bool
+	back Millis // it counts as started then
+}
+
 // seen is what was learned of an endpoint's process.
 type seen struct {
 	weight, room float64 // room: legs it may have
@@ -163,6 +171,7 @@
 	// The list.
 	endpoints, ready []*endpoint // in the order first heard of
 	known            map[EndpointID]*endpoint
+	hands            map[EndpointID]byHand
 	odds             []float64 // of the ready ones, in a pick
 	sizes            float64   // of the ready ones
 	askWait          Millis
@@ -192,7 +201,8 @@
 		mustAsk: t.MustAsk, strange: 1,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
-		open: map[ExchangeID]*exchange{}, retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice,
+		hands: map[EndpointID]byHand{}, open: map[ExchangeID]*exchange{}, retries: retryMost / 4,
+		ratioAt: now, advice: t.LongestAdvice,
 	}
 	b.roomLeast = math.Min(roomLeast/b.fleet, 1)
 	// The list service takes calls in turn and drops those that wait too long: many that ask soon get none.
@@ -250,11 +260,33 @@
 	} else if readyAt > e.readyAt {
 		b.renew(e) // a restart: what was known of the old process misleads about the new one
 	}
-	e.zone, e.cell, e.size, e.readyAt = zone, cell, size, max(readyAt, 0)
+	// Back by hand means restarted, whatever older start the list still tells.
+	e.zone, e.cell, e.size, e.readyAt = zone, cell, size, max(readyAt, b.hands[id].back, 0)
 	if size <= 0 {
 		e.size = 1
 	}
-	e.listed, e.running = h != Gone, h == Running
+	e.listed, e.up = h != Gone, h == Running
+	e.running = e.up && !b.hands[id].out
+}
+
+// Out takes an endpoint out by hand: from here on it gets nothing new until Back, whatever the list says.
+func (b *Balancer) Out(id EndpointID) {
+	b.hands[id] = byHand{out: true}
+	b.gather()
+}
+
+// Back ends that. The endpoint was restarted meanwhile: what was known misleads, and it is cold from now.
+func (b *Balancer) Back(id EndpointID) {
+	if !b.hands[id].out {
+		return
+	}
+	b.hands[id] = byHand{back: b.now}
+	if e := b.known[id]; e != nil {
+		b.renew(e)
+		e.readyAt, e.called = b.now, true
+	}
+	b.gather()
+	b.drain()
 }
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
@@ -272,26 +304,36 @@
 
 // ListEnds ends a list event. The disk's list is old; any other shows that the watch works.
 func (b *Balancer) ListEnds(fromDisk bool) {
-	b.ready, b.sizes = b.ready[:0], 0
 	b.endpoints = slices.DeleteFunc(b.endpoints, func(e *endpoint) bool {
 		if !e.listed && e.legs == 0 {
 			delete(b.known, e.id)
 		}
 		return !e.listed && e.legs == 0
 	})
-	for _, e := range b.endpoints {
-		if e.running = e.running && e.listed; e.running {
-			b.ready = append(b.ready, e)
-			b.sizes += e.size
+	for id, h := range b.hands {
+		if !h.out && b.now > h.back+b.cold {
+			delete(b.hands, id)
 		}
 	}
-	b.odds = slices.Grow(b.odds[:0], len(b.ready))[:len(b.ready)]
+	b.gather()
 	if !fromDisk {
 		b.askWait = b.askFirst
 	}
 	b.drain()
 }
 
+// gather finds who may get anything.
+func (b *Balancer) gather() {
+	b.ready, b.sizes = b.ready[:0], 0
+	for _, e := range b.endpoints {
+		if e.running = e.up && e.listed && !b.hands[e.id].out; e.running {
+			b.ready = append(b.ready, e)
+			b.sizes += e.size
+		}
+	}
+	b.odds = slices.Grow(b.odds[:0], len(b.ready))[:len(b.ready)]
+}
+
 // ListFailed asks again, later each time but well inside the time after which silence counts as told.
 func (b *Balancer) ListFailed() {
 	if b.mustAsk {
@@ -380,7 +422,7 @@
 	if !b.gate(x, e) {
 		return false
 	}
-	if b.isCold(e) {
+	if e.called = false; b.isCold(e) {
 		e.tokens -= b.effort(x)
 	}
 	if s := &e.of[x.product.place]; s.length >= 2 {
@@ -593,6 +635,9 @@
 		if e.legs > 0 && float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
 			continue
 		}
+		if e.called {
+			return e // its first leg since it is back: a light sidecar would not draw it for long
+		}
 		odds := e.weight * e.size * part
 		if e.zone != b.zone {
 			odds *= b.awayOdds
@@ -885,6 +930,9 @@
 		if b.isCold(e) {
 			own := b.rate * e.size / math.Max(b.sizes, 0.01)
 			allowed := b.coldRate * b.capacityNow(e) * math.Max(own, 0.5/b.usual/b.fleet)
+			if e.called && b.fall > 0 {
+				allowed = math.Max(allowed, 1/float64(calledBy*b.fall))
+			}
 			e.tokens = math.Min(e.tokens+allowed*float64(b.beat), math.Max(1, allowed*float64(b.fall)/4))
 		}
 		b.judge(e)
--- a/logic/view.go
+++ b/logic/view.go
@@ -28,3 +28,13 @@
 	}
 	return v
 }
+
+// Avoided counts the listed endpoints that get nothing but, at the most, a trial now: by the list, by hand or by choice.
+func (b *Balancer) Avoided() (n int) {
+	for _, e := range b.endpoints {
+		if e.listed && (!e.running || e.doubted && !b.mostDoubt) {
+			n++
+		}
+	}
+	return n
+}
