--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -109,12 +109,10 @@
 	}
 }
 
+// paths are matched as written: net/http's own table would send a caller with a double slash elsewhere.
 func (s *console) paths() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthcheck", s.health)
-	mux.HandleFunc("GET /stats", s.stats)
-	mux.HandleFunc("POST /endpoints/{id}/maint", func(w http.ResponseWriter, r *http.Request) { s.byHand(w, r, true) })
-	mux.HandleFunc("POST /endpoints/{id}/ready", func(w http.ResponseWriter, r *http.Request) { s.byHand(w, r, false) })
+	type handler = func(w http.ResponseWriter, r *http.Request)
+	simple := map[string]handler{"/healthcheck": s.health, "/stats": s.stats}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
 			s.mu.Lock()
@@ -123,7 +121,21 @@
 		}
 		s.front.counters.consoleCalls.Add(1)
 		hangUpAfter(w)
-		mux.ServeHTTP(w, r)
+		method, do := http.MethodGet, simple[r.URL.Path]
+		if rest, ours := strings.CutPrefix(r.URL.Path, "/endpoints/"); ours {
+			if at := strings.LastIndexByte(rest, '/'); at >= 0 && (rest[at+1:] == "maint" || rest[at+1:] == "ready") {
+				method, do = http.MethodPost, func(w http.ResponseWriter, _ *http.Request) { s.byHand(w, rest[:at], rest[at+1:] == "maint") }
+			}
+		}
+		switch {
+		case do == nil:
+			http.Error(w, "no such call", http.StatusNotFound)
+		case r.Method != method:
+			w.Header().Set("Allow", method)
+			http.Error(w, method+" only", http.StatusMethodNotAllowed)
+		default:
+			do(w, r)
+		}
 	})
 }
 
@@ -135,9 +147,8 @@
 }
 
 // byHand takes an endpoint out or puts it back; 200 once that is in force and kept.
-func (s *console) byHand(w http.ResponseWriter, r *http.Request, out bool) {
-	id := r.PathValue("id")
-	if id == "" || len(id) > endpointMax || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c == 0x7f || c == 0xfffd }) {
+func (s *console) byHand(w http.ResponseWriter, id string, out bool) {
+	if id == "" || len(id) > endpointMax || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c == '/' || c == 0x7f || c == 0xfffd }) {
 		http.Error(w, "not an id", http.StatusBadRequest)
 		return
 	}
--- /dev/null
+++ b/internal/sidecar/console_test.go
@@ -0,0 +1,311 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fastjson"
+	"go.uber.org/zap"
+)
+
+// desk is a sidecar's console on loopback.
+func (r *running) desk() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(r, err)
+	s := &console{front: r.front, hands: r.loop.hands, log: zap.NewNop()}
+	web := s.httpServer()
+	go s.serve(web, ln)
+	r.Cleanup(func() { web.Close() })
+	return ln.Addr().String()
+}
+
+// call makes one call and returns status and body; 0 is no answer.
+func call(t assert.TestingT, desk, method, path string) (int, string) {
+	c, err := net.Dial("tcp", desk)
+	if !assert.NoError(t, err) {
+		return 0, ""
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	got, body := exchangeOn(c, method+" "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+	if got == nil {
+		return 0, body
+	}
+	assert.True(t, got.Close, "one call to a connection")
+	return got.StatusCode, body
+}
+
+func withConsole(dir string) func(*Start) {
+	return func(s *Start) { s.Console, s.dir = "127.0.0.1:0", dir }
+}
+
+func stats(t *testing.T, desk string) *fastjson.Value {
+	status, body := call(t, desk, "GET", "/stats")
+	require.Equal(t, 200, status)
+	v, err := fastjson.Parse(body)
+	require.NoError(t, err, body)
+	return v
+}
+
+func TestConsoleCalls(t *testing.T) {
+	r := begin(t, known(newStandIn(t, say(fine, true))), withConsole(t.TempDir()))
+	desk := r.desk()
+	assert.Eventually(t, r.front.serves, 5*time.Second, time.Millisecond)
+	for _, c := range []struct {
+		method, path string
+		status       int
+	}{
+		{"GET", "/healthcheck", 200}, {"GET", "/stats", 200}, {"POST", "/stats", 405}, {"GET", "/", 404},
+		{"GET", "/endpoints/s0/maint", 405}, {"POST", "/endpoints/s0/sleep", 404}, {"POST", "/endpoints//maint", 400}, {"POST", "/endpoints/a/b/maint", 400},
+		{"POST", "/endpoints/never/maint", 404}, {"POST", "/endpoints/never/ready", 404}, {"POST", "/endpoints/s0/ready", 200},
+		{"POST", "/endpoints/%20/maint", 400}, {"POST", "/endpoints/" + strings.Repeat("x", 300) + "/maint", 400},
+		{"POST", "/endpoints/s0/maint", 200}, {"POST", "/endpoints/s0/maint", 200}, {"POST", "/endpoints/s0/ready", 200},
+	} {
+		status, body := call(t, desk, c.method, c.path)
+		assert.Equal(t, c.status, status, "%s %s: %s", c.method, c.path, body)
+	}
+	end := time.Now()
+	r.front.until.Store(&end)
+	status, _ := call(t, desk, "GET", "/healthcheck")
+	assert.Equal(t, 503, status, "nobody should be sent to a process that ends")
+}
+
+func TestHealthWithoutAList(t *testing.T) {
+	r := begin(t, "null", withConsole(""))
+	status, _ := call(t, r.desk(), "GET", "/healthcheck")
+	assert.Equal(t, 503, status)
+}
+
+// Silent callers and half calls, many at once, delay nobody: the oldest gives way.
+func TestSilentCrowdAtTheConsole(t *testing.T) {
+	r := begin(t, known(newStandIn(t, say(fine, true))), withConsole(""))
+	desk := r.desk()
+	for n := range 4 * callersMost {
+		c, err := net.Dial("tcp", desk)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		c.Write([]byte("POST /endpoints/s0/maint HTTP/1.1\r\nHost"[:n%40]))
+	}
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			began := time.Now()
+			status, _ := call(t, desk, "GET", "/stats")
+			assert.Equal(t, 200, status)
+			assert.Less(t, time.Since(began), time.Second)
+		})
+	}
+	all.Wait()
+}
+
+// Each way out counts once, under its class, and what is no request of ours spoils no class's figures.
+func TestFiguresAgreeWithTheStandIns(t *testing.T) {
+	free, open := make(chan bool), make(chan bool, 1)
+	s := newStandIn(t, func(c net.Conn, q *http.Request) bool {
+		switch q.URL.Path {
+		case "/buy/bad":
+			return say("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", true)(c, q)
+		case "/buy/full":
+			return say("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", true)(c, q)
+		case "/buy/slow":
+			open <- true
+			<-free
+		}
+		return say(fine, true)(c, q)
+	})
+	r := begin(t, known(s), withConsole(""))
+	desk, none := r.desk(), "Content-Length: 0\r\n"
+	for n := range 7 {
+		assert.Equal(t, 200, r.status(ask(fmt.Sprint("look", n), "GET", "look", "")))
+	}
+	assert.Equal(t, 200, r.status(ask("typed", "POST", "look", none)), "its class, though it is taken for single-use")
+	assert.Equal(t, 502, r.status(ask("bad", "POST", "buy/bad", none)))
+	assert.Equal(t, 503, r.status(ask("full", "POST", "buy/full", none)))
+	assert.Equal(t, 404, r.status(ask("no class", "GET", "sell", "")))
+	assert.Equal(t, 400, r.status(ask("", "GET", "look", "")))
+	r.front.bodyRoom = -1
+	assert.Equal(t, 503, r.status(ask("turned", "GET", "look", "")), "turned away without the module")
+	r.front.bodyRoom = 1 << 20
+	slow := r.dial()
+	slow.Write([]byte(ask("slow", "POST", "buy/slow", none)))
+	<-open
+	v := stats(t, desk)
+	assert.Equal(t, 1, v.GetInt("in_flight"))
+	assert.Equal(t, 1, v.GetInt("endpoints_known"))
+	close(free)
+	exchangeOn(slow, "")
+	of := func(class, name string) func() int {
+		return func() int { return stats(t, desk).GetInt("requests", class, name) }
+	}
+	for _, c := range []struct {
+		of   func() int
+		want int
+	}{
+		{of("look", "served"), 8}, {of("look", "refused"), 1}, {of("look", "failed"), 0}, {of("look", "attempts"), 8},
+		{of("buy", "served"), 1}, {of("buy", "refused"), 1}, {of("buy", "failed"), 1}, {of("save", "served"), 0},
+		{func() int { return stats(t, desk).GetInt("in_flight") }, 0},
+		{func() int { return stats(t, desk).GetInt("attempts") }, int(s.requests.Load())},
+	} {
+		assert.Eventually(t, func() bool { return c.of() == c.want }, 5*time.Second, time.Millisecond)
+		assert.Equal(t, c.want, c.of())
+	}
+	assert.NotNil(t, stats(t, desk).Get("requests", "save"), "every class from the start")
+}
+
+// Out by hand: a leg that still dials sends nothing, the only endpoint's loss is told at once, and a list changes nothing.
+func TestOutByHand(t *testing.T) {
+	s := newStandIn(t, say(fine, true))
+	r := begin(t, known(s), withConsole(t.TempDir()))
+	desk := r.desk()
+	say := func(what string) {
+		status, body := call(t, desk, "POST", "/endpoints/s0/"+what)
+		require.Equal(t, 200, status, body)
+	}
+	assert.Equal(t, 200, r.status(ask("before", "GET", "look", "")))
+	plain, began := r.loop.up.dial, make(chan bool)
+	say("maint")
+	assert.False(t, r.loop.up.dropIdle(), "idle connections are closed")
+	began2 := time.Now()
+	assert.Equal(t, 503, r.status(ask("nowhere", "GET", "look", "")))
+	assert.Less(t, time.Since(began2), 500*time.Millisecond, "at once")
+	whole := inventory{version: 2, full: true, servers: []entry{{id: "s0", addr: s.Addr().String(), running: true}}}
+	for _, i := range []inventory{{version: 1, full: true}, whole} {
+		r.loop.post(listing{inventory: i, fromDisk: true})
+		assert.Equal(t, 503, r.status(ask(fmt.Sprint("listed", i.version), "GET", "look", "")))
+	}
+	assert.Eventually(t, func() bool { return stats(t, desk).GetInt("endpoints_excluded") == 1 }, 5*time.Second, time.Millisecond)
+	say("ready")
+	assert.Equal(t, 200, r.status(ask("back", "GET", "look", "")))
+	r.loop.up.dropIdle()
+	r.loop.up.dial = nil
+	done := make(chan bool)
+	r.loop.post(probe(func(*loop) { close(done) }))
+	<-done
+	r.loop.up.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		began <- true
+		<-began
+		return plain(ctx, network, addr)
+	}
+	before := s.requests.Load()
+	c := r.dial()
+	c.Write([]byte(ask("dials", "POST", "buy", "Content-Length: 0\r\n")))
+	<-began
+	say("maint")
+	began <- true
+	got, _ := exchangeOn(c, "")
+	require.NotNil(t, got)
+	assert.Equal(t, 503, got.StatusCode, "it never ran")
+	assert.Equal(t, before, s.requests.Load())
+}
+
+// Bans and ids once listed outlast the process; what another process writes holds here; a spoilt file changes nothing.
+func TestHandsOutlastTheProcess(t *testing.T) {
+	dir := t.TempDir()
+	told := []string{}
+	first, second := newHands("c", dir, zap.NewNop()), (*hands)(nil)
+	first.listed("a")
+	first.listed("b")
+	require.NoError(t, first.change("a", true))
+	assert.ErrorIs(t, first.change("z", true), errNeverListed)
+	second = newHands("c", dir, zap.NewNop())
+	second.tell = func(id string, out bool) { told = append(told, fmt.Sprint(id, out)) }
+	assert.Equal(t, []string{"a"}, second.bans())
+	var saved time.Time
+	require.NoError(t, first.change("b", true))
+	second.look(time.Now(), &saved)
+	require.NoError(t, second.change("a", false), "listed by the process before")
+	first.look(time.Now(), &saved)
+	assert.Equal(t, []string{"b"}, first.bans(), "a single call ends it, at either")
+	assert.Equal(t, []string{"btrue", "afalse"}, told)
+	path := filepath.Join(dir, "lynxjunction.hands.json")
+	for _, spoilt := range []string{"", `{"out":["b"`, `{"out":"b","ever":[]}`, `{"out":[7],"ever":[]}`} {
+		require.NoError(t, os.WriteFile(path, []byte(spoilt), 0o600))
+		first.look(time.Now(), &saved)
+		assert.Equal(t, []string{"b"}, first.bans(), spoilt)
+		newHands("c", dir, zap.NewNop())
+	}
+	require.NoError(t, first.change("a", true), "and the next call mends it")
+	assert.Equal(t, []string{"a", "b"}, newHands("c", dir, zap.NewNop()).bans())
+	var all sync.WaitGroup
+	for n := range 40 {
+		all.Go(func() { assert.NoError(t, []*hands{first, second}[n%2].change("a", n/2%2 == 0)) })
+	}
+	all.Wait()
+	first.look(time.Now(), &saved)
+	second.look(time.Now(), &saved)
+	assert.Equal(t, first.bans(), second.bans(), "two consoles at once")
+}
+
+// A ban that can't be kept holds, and is not said yes to.
+func TestFullDisk(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "not there")
+	r := begin(t, known(newStandIn(t, say(fine, true))), withConsole(dir))
+	desk := r.desk()
+	status, _ := call(t, desk, "POST", "/endpoints/s0/maint")
+	assert.Equal(t, 503, status)
+	assert.Equal(t, 503, r.status(ask("1", "GET", "look", "")), "it is in force all the same")
+}
+
+// Ids are ever new: the oldest are forgotten, but never one that is out.
+func TestEverListedIsBounded(t *testing.T) {
+	h := newHands("c", "", zap.NewNop())
+	h.listed("old")
+	require.NoError(t, h.change("old", true))
+	for n := range 2 * everMost {
+		h.listed(fmt.Sprint(n))
+	}
+	h.mu.Lock()
+	h.fold()
+	h.mu.Unlock()
+	assert.Len(t, h.ever, everMost)
+	assert.Len(t, h.order, everMost)
+	assert.NoError(t, h.change("old", false))
+}
+
+// A loop that stands still must not keep staff waiting, nor let the console say yes.
+func TestLoopStandsStill(t *testing.T) {
+	r := begin(t, known(newStandIn(t, say(fine, true))), withConsole(t.TempDir()))
+	desk, free, held := r.desk(), make(chan bool), make(chan bool)
+	r.loop.post(probe(func(*loop) { held <- true; <-free }))
+	<-held
+	began := time.Now()
+	status, _ := call(t, desk, "POST", "/endpoints/s0/maint")
+	assert.Equal(t, 503, status)
+	status, _ = call(t, desk, "GET", "/stats")
+	assert.Equal(t, 200, status)
+	assert.Less(t, time.Since(began), time.Second)
+	assert.True(t, r.loop.up.find("s0").shut.Load(), "nothing new is written to it all the same")
+	close(free)
+	assert.Eventually(t, func() bool { return r.loop.confirmed(time.Second) }, 5*time.Second, time.Millisecond)
+	assert.Equal(t, 503, r.status(ask("1", "GET", "look", "")))
+}
+
+func TestConsoleAddress(t *testing.T) {
+	text := strings.NewReplacer("%KNOWN%", "null", "%SOCKETS%", "1024").Replace(startText)
+	path := filepath.Join(t.TempDir(), "start.json")
+	for _, c := range []struct{ file, env, want, fault string }{
+		{"", "", "", ""}, {"127.0.0.1:7", "", "127.0.0.1:7", ""}, {"127.0.0.1:7", "127.0.0.1:8", "127.0.0.1:8", ""},
+		{"nonsense", "", "", "console"}, {"", "nonsense", "", "console"},
+	} {
+		t.Setenv("RELAY_CONSOLE", c.env)
+		written := strings.Replace(text, `"seed"`, fmt.Sprintf(`"console":%q,"seed"`, c.file), 1)
+		require.NoError(t, os.WriteFile(path, []byte(written), 0o600))
+		s, err := Read(path)
+		if c.fault != "" {
+			assert.ErrorContains(t, err, c.fault)
+			continue
+		}
+		require.NoError(t, err)
+		assert.Equal(t, c.want, s.Console)
+	}
+}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -803,3 +803,72 @@
 		assert.InDelta(t, c.legs, b.out, 1, "%+v", c)
 	}
 }
+
+// What staff say stands whatever the list says, and who comes back is a new process: cold, unknown, and used at once.
+func TestOutByHandAndBack(t *testing.T) {
+	b, r := begin("ab")
+	serve(b, r, 40, 50)
+	b.Out("a")
+	b.Out("a")
+	assert.Equal(t, 1, b.Avoided())
+	lists := map[string]func(){
+		"entry":      func() { b.Listed("a", Running, 0, 0, 1, 0) },
+		"restarted":  func() { b.Listed("a", Running, 0, 0, 1, b.now) },
+		"whole list": func() { b.ListStarts(); b.Listed("b", Running, 0, 0, 1, 0) },
+		"back in it": func() { b.Listed("a", Running, 0, 0, 1, 0) },
+	}
+	for _, name := range []string{"entry", "restarted", "whole list", "back in it"} {
+		lists[name]()
+		b.ListEnds(false)
+		for n := range 20 {
+			x := ExchangeID(fmt.Sprint(name, n))
+			assert.NotEqual(t, EndpointID("a"), arrive(b, r, x, replayable), name)
+			b.Ended(x, 0, Satisfied, 50, true)
+		}
+	}
+	b.known["a"].doubted, b.known["a"].bad = true, 9
+	b.Back("a")
+	assert.False(t, b.known["a"].doubted)
+	for _, older := range []Millis{0, b.now - 5} {
+		b.Listed("a", Running, 0, 0, 1, older)
+		b.ListEnds(false)
+		assert.True(t, b.isCold(b.known["a"]), "an older start in the list does not warm it")
+	}
+	used := func() (n int) {
+		for range 2 * int(b.fall/b.beat) * int(calledBy) {
+			beats(b, 1)
+			x := ExchangeID(fmt.Sprint(b.now))
+			if arrive(b, r, x, replayable) == "a" {
+				n++
+			}
+			b.Ended(x, 0, Satisfied, 50, true)
+		}
+		return n
+	}
+	assert.NotZero(t, used(), "well within 5 s, though this sidecar sends one exchange in a beat")
+	b.Back("a")
+	b.Back("never out")
+	assert.Zero(t, b.Avoided())
+	b.Out("gone")
+	b.Back("gone")
+	b.At(b.now + b.cold + 1)
+	b.ListEnds(false)
+	assert.Empty(t, b.hands, "what staff said is not kept for ever")
+}
+
+// An endpoint out by hand gets neither the copy, nor the further leg, nor what waits for room.
+func TestNothingMoreWhileOut(t *testing.T) {
+	b, r := begin("ab")
+	serve(b, r, 40, 50)
+	to := arrive(b, r, "x", replayable)
+	other := map[EndpointID]EndpointID{"a": "b", "b": "a"}[to]
+	b.Out(other)
+	b.Alarm(TimerID(b.open["x"].place)<<40 | TimerID(b.open["x"].turn)<<8 | TimerID(copyDue)<<4 | 2)
+	assert.Empty(t, sentTo(r), "copy")
+	b.Ended("x", 0, NoConnection, 5, false)
+	assert.NotEqual(t, other, sentTo(r), "further leg")
+	b.Out(to)
+	r.take()
+	b.Arrive("y", replayable, -1, b.now+4000)
+	assert.Equal(t, []string{"dismiss y"}, r.take("send", "dismiss"), "the only ones left are out: told at once")
+}
