--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -143,6 +143,8 @@
 func (s *console) health(w http.ResponseWriter, _ *http.Request) {
 	if !s.front.serves() {
 		http.Error(w, "not serving", http.StatusServiceUnavailable)
+	} else if s.front.pair != nil {
+		s.front.pair.assure()
 	}
 }
 
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -105,6 +105,8 @@
 	changed       *sync.Cond
 	began         time.Time
 	usable, spare int
+	set           int // set aside by each process: fixed ones, and the console's callers
+	whole         int // usable by this process while it is alone
 	keep          int // clients' connections up to which they are kept after an answer
 	upstream      int
 	clients       map[*client]struct{}
@@ -121,6 +123,7 @@
 		clients: map[*client]struct{}{},
 	}
 	s.usable = max(limit-fixedSockets-s.spare, 2)
+	s.whole = s.usable
 	s.changed = sync.NewCond(&s.mu)
 	return s
 }
@@ -133,6 +136,27 @@
 	return len(s.clients), s.upstream
 }
 
+// shareWith makes room for the other process of an upgrade, which holds so many: each may have half of what neither does.
+// What is idle gives way first. Below 0 there is no other.
+func (s *sockets) shareWith(held int) {
+	s.mu.Lock()
+	s.usable = s.whole
+	if held >= 0 {
+		mine, both := len(s.clients)+s.upstream, s.whole-s.set
+		s.usable = max(min(mine, both/2)+max(both-mine-held, 0)/2, 2)
+	}
+	s.mu.Unlock()
+	s.changed.Broadcast()
+	for s.over() && (s.dropIdle() || s.shed(idle, 0)) {
+	}
+}
+
+func (s *sockets) over() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.clients)+s.upstream > s.usable
+}
+
 // crowded tells that an answer should close its connection. An application may hold a third of our descriptors: with that
 // many connections idle, left behind by those who ask once and stay, its next requests would find none to go out on.
 func (s *sockets) crowded() bool {
@@ -147,16 +171,17 @@
 	return heard > s.keep
 }
 
-func (s *sockets) full(most int) bool {
+// full tells whether the usable descriptors, and so many more, are held.
+func (s *sockets) full(more int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.clients)+s.upstream >= most
+	return len(s.clients)+s.upstream >= s.usable+more
 }
 
 // room tells whether one more fits. What says nothing gives way first, then what is idle, clients' before endpoints',
 // whose opening costs more; a request in the middle of its way only if it is slow.
 func (s *sockets) room() bool {
-	return !s.full(s.usable) || s.shed(fresh, freshTime) || s.shed(idle, 0) || s.dropIdle() || s.shed(reading, slowTime)
+	return !s.full(0) || s.shed(fresh, freshTime) || s.shed(idle, 0) || s.dropIdle() || s.shed(reading, slowTime)
 }
 
 // shed closes the connection that has been longest in a phase, if that is longer than least.
@@ -225,7 +250,7 @@
 
 // await blocks while even the spare part is used up and nobody can give way.
 func (s *sockets) await() {
-	for s.full(s.usable+s.spare) && !s.room() {
+	for s.full(s.spare) && !s.room() {
 		again := time.AfterFunc(freshTime/2, s.changed.Broadcast) // somebody may have become slow enough
 		s.mu.Lock()
 		s.changed.Wait()
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -9,9 +9,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -77,6 +79,28 @@
 	return i, nil
 }
 
+// encode writes a whole list in discovery's form.
+func encode(a *fastjson.Arena, i inventory) *fastjson.Value {
+	servers, list := a.NewArray(), a.NewObject()
+	for n, e := range i.servers {
+		s, state := a.NewObject(), "terminating"
+		if e.running {
+			state = "in_service"
+		}
+		s.Set("id", a.NewString(e.id))
+		s.Set("addr", a.NewString(e.addr))
+		s.Set("zone", a.NewString(e.zone))
+		s.Set("cell", a.NewNumberInt(int(e.cell)))
+		s.Set("state", a.NewString(state))
+		s.Set("weight", a.NewNumberFloat64(e.weight))
+		s.Set("started_ms", a.NewNumberFloat64(float64(e.started)))
+		servers.SetArrayItem(n, s)
+	}
+	list.Set("version", a.NewNumberString(strconv.FormatInt(i.version, 10)))
+	list.Set("servers", servers)
+	return list
+}
+
 // lists follows discovery. All but the watch's own goroutine belongs to the loop.
 type lists struct {
 	addr    string
@@ -93,12 +117,22 @@
 	stopOld context.CancelFunc
 	named   map[logic.EndpointID]bool // true: by the last whole list or since
 	addrs   map[logic.EndpointID]bool // had an address once
+	entries map[logic.EndpointID]entry
+}
+
+// inventory is the list as it stands.
+func (d *lists) inventory() inventory {
+	i := inventory{version: d.version, full: true}
+	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
+		i.servers = append(i.servers, d.entries[id])
+	}
+	return i
 }
 
 func newLists(addr string, silence time.Duration, names *terms.Names) *lists {
 	return &lists{
 		addr: addr, version: noVersion, silence: silence, zones: names, stop: func() {}, stopOld: func() {}, named: map[logic.EndpointID]bool{},
-		addrs: map[logic.EndpointID]bool{},
+		addrs: map[logic.EndpointID]bool{}, entries: map[logic.EndpointID]entry{},
 	}
 }
 
@@ -108,12 +142,18 @@
 	}
 }
 
-func (d *lists) mark(id logic.EndpointID) { d.named[id] = true }
+func (d *lists) mark(id logic.EndpointID, e entry) {
+	if e.addr == "" {
+		e.addr = d.entries[id].addr
+	}
+	d.named[id], d.entries[id] = true, e
+}
 
 // drop lets go of all that is held of an endpoint: ids are ever new, and never come back.
 func (d *lists) drop(id logic.EndpointID) {
 	delete(d.named, id)
 	delete(d.addrs, id)
+	delete(d.entries, id)
 }
 
 // known tells whether there is an address to send to.
--- a/internal/sidecar/hands.go
+++ b/internal/sidecar/hands.go
@@ -105,6 +105,29 @@
 	return h.sortedOut()
 }
 
+// all are the bans and the ids once listed.
+func (h *hands) all() (out, ever []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fold()
+	return h.sortedOut(), slices.Clone(h.order)
+}
+
+// inherit takes over what the process before this one says, beside what the file says: either may be lost.
+func (h *hands) inherit(out, ever []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range ever {
+		h.know(id)
+	}
+	if h.seen == nil || h.damaged {
+		for _, id := range out {
+			h.know(id)
+			h.set(id, true)
+		}
+	}
+}
+
 func (h *hands) sortedOut() []string {
 	ids := make([]string, 0, len(h.out))
 	for id := range h.out {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -108,6 +108,7 @@
 	pastNext  int
 	held      atomic.Int64 // exchanges without an answer
 	loaded    atomic.Bool
+	heard     atomic.Bool // a watch has told a list
 	up        *upstream
 	list      *lists
 	hands     *hands
@@ -353,7 +354,7 @@
 			l.list.drop(id)
 		} else {
 			l.up.list(id, s.addr, health == logic.Running)
-			l.list.mark(id)
+			l.list.mark(id, s)
 			l.hands.listed(s.id)
 		}
 		l.module.Listed(id, health, l.list.zones.Zone([]byte(s.zone)), s.cell, s.weight, s.started)
@@ -376,6 +377,9 @@
 	l.counters.listVersion.Store(e.version)
 	l.counters.endpoints.Store(int64(len(l.list.named)))
 	l.loaded.Store(true)
+	if !e.fromDisk {
+		l.heard.Store(true)
+	}
 }
 
 func (e listLost) happen(l *loop) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -31,19 +31,21 @@
 
 // front answers clients.
 type front struct {
-	loop     *loop
-	names    *terms.Names
-	products []logic.Product
-	sockets  *sockets
-	counters *Counters
-	log      *zap.Logger
-	open     atomic.Bool               // the door takes clients
-	inHand   atomic.Int64              // requests taken and not ended, answers on their way included
-	until    atomic.Pointer[time.Time] // once ending: nobody waits longer, and after it nothing is taken
-	newest   atomic.Int64              // when an exchange was last taken, nanoseconds after the loop started
-	pace     pace
-	bodies   atomic.Int64 // bytes of requests in hand
-	bodyRoom int64
+	loop      *loop
+	names     *terms.Names
+	products  []logic.Product
+	sockets   *sockets
+	counters  *Counters
+	log       *zap.Logger
+	pair      *pair                     // nil where no other process may come
+	open      atomic.Bool               // the door takes clients
+	succeeded atomic.Bool               // another process has the door
+	inHand    atomic.Int64              // requests taken and not ended, answers on their way included
+	until     atomic.Pointer[time.Time] // once ending: nobody waits longer, and after it nothing is taken
+	newest    atomic.Int64              // when an exchange was last taken, nanoseconds after the loop started
+	pace      pace
+	bodies    atomic.Int64 // bytes of requests in hand
+	bodyRoom  int64
 }
 
 // pace notices when the process stood still, be it stopped or without a core: what is read just after may have come
@@ -93,7 +95,7 @@
 
 // serves tells whether an exchange that comes now would find all it needs.
 func (s *front) serves() bool {
-	return s.open.Load() && s.loop.loaded.Load() && s.until.Load() == nil
+	return s.open.Load() && s.loop.loaded.Load() && s.until.Load() == nil && (s.pair == nil || s.pair.settled())
 }
 
 type clientKey struct{}
@@ -152,7 +154,7 @@
 	if r.Header.Get("Request-Id") == "" && r.Method == http.MethodGet {
 		switch r.URL.Path {
 		case "/up":
-			if !s.loop.loaded.Load() || s.until.Load() != nil {
+			if !s.loop.loaded.Load() || s.until.Load() != nil && !s.succeeded.Load() {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
 			return
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -478,7 +478,7 @@
 	before, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	time.AfterFunc(50*time.Millisecond, func() { before.Close() })
-	ln, err := listen(context.Background(), before.Addr().String())
+	ln, err := (&Start{}).listen(context.Background(), before.Addr().String())
 	require.NoError(t, err)
 	ln.Close()
 }
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -28,6 +28,7 @@
 	acceptLast = 650 * time.Millisecond // after SIGTERM connections come for up to 0.4 s
 	quietLast  = 300 * time.Millisecond // without a new exchange, before kept connections are closed
 	addrWait   = 5 * time.Second        // for the address, at the start
+	memoryPart = 7                      // tenths of the limit
 	endMargin  = 400 * time.Millisecond // beyond the longest abandon time: less than SIGKILL leaves
 )
 
@@ -148,18 +149,31 @@
 	return text
 }
 
+// memory is what this sidecar is given; a whole number of tenths of it is for the collector to keep below.
+func (s *Start) memory() int64 { return int64(s.MemoryMB) << 20 / 10 }
+
 // limit keeps the process within what it is given.
 func (s *Start) limit() {
 	runtime.GOMAXPROCS(max(int(math.Ceil(s.Cores)), 1))
-	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 7 / 10)
+	debug.SetMemoryLimit(s.memory() * memoryPart)
 	debug.SetGCPercent(200)
 }
 
 // Serve runs until ctx ends (SIGTERM) and all that was taken is answered. At each again (SIGHUP) it reads anew.
 func (s *Start) Serve(ctx context.Context, log *zap.Logger, again <-chan os.Signal, read func() (*Start, error)) error {
 	s.limit()
-	ln, err := listen(ctx, s.Listen)
-	if err != nil {
+	past, err := inherit(s.dir)
+	if err != nil && err != errNoElder {
+		log.Warn("the process before this one does not answer; started without it", zap.Error(err))
+	}
+	var ln *net.TCPListener
+	if past != nil {
+		// What was learned last stands above a list that may be as old as the first start. It is asked on at once.
+		if ln = past.door; past.known != nil {
+			s.known = past.known
+		}
+		s.terms.Knows = false
+	} else if ln, err = s.listen(ctx, s.Listen); err != nil {
 		return err
 	}
 	if s.knownFault != nil {
@@ -170,7 +184,7 @@
 	defer end()
 	srv := s.assemble(life, log)
 	if s.Console != "" {
-		at, err := listen(ctx, s.Console)
+		at, err := s.listen(ctx, s.Console)
 		if err != nil {
 			return fmt.Errorf("console: %w", err)
 		}
@@ -179,6 +193,19 @@
 		defer web.Close()
 		go desk.serve(web, at)
 	}
+	if s.dir != "" {
+		p := &pair{dir: s.dir, memory: s.memory(), front: srv, door: ln, log: log, born: time.Now(), heir: past != nil}
+		srv.pair = p
+		if past != nil {
+			srv.loop.hands.inherit(past.out, past.ever)
+			go func() {
+				p.join(life, past.line, past.read, false)
+				p.offered(life)
+			}()
+		} else {
+			p.offered(life)
+		}
+	}
 	go s.follow(life, srv, again, read)
 	err = s.serve(ctx, srv, ln)
 	log.Info("ends", srv.counters.fields(srv.sockets)...)
@@ -210,9 +237,13 @@
 }
 
 // listen waits for an address that the process before this one has not let go of yet.
-func listen(ctx context.Context, addr string) (*net.TCPListener, error) {
+func (s *Start) listen(ctx context.Context, addr string) (*net.TCPListener, error) {
+	how := net.ListenConfig{}
+	if s.Console != "" {
+		how.Control = shared
+	}
 	for began := time.Now(); ; {
-		ln, err := net.Listen("tcp", addr)
+		ln, err := how.Listen(ctx, "tcp", addr)
 		if err == nil {
 			return ln.(*net.TCPListener), nil
 		}
@@ -231,6 +262,7 @@
 		limit -= callersMost
 	}
 	books := newSockets(limit, counters)
+	books.set = s.Sockets - limit + fixedSockets
 	up := newUpstream(s.connect, s.idleClose, books, counters)
 	l := newLoop(ctx, s.terms, s.known, up, newLists(s.Discovery, s.silence, s.names),
 		newHands(s.Console, s.dir, log), counters, log)
@@ -304,17 +336,28 @@
 	until := began.Add(longest + endMargin/2)
 	srv.until.Store(&until)
 	srv.log.Info("ending", zap.Int64("held", srv.loop.held.Load()))
-	accepting := true
+	accepting, heir := true, false
 	beat := time.NewTicker(10 * time.Millisecond)
 	defer beat.Stop()
 	for ; ; <-beat.C {
 		gone := time.Since(began)
+		if accepting && srv.pair != nil && srv.pair.succeeds() {
+			// Whoever comes now is in a queue that the new process serves; kept connections close with their next answer.
+			accepting, heir = false, true
+			srv.succeeded.Store(true)
+			ln.Close()
+			srv.log.Info("the new process has the door")
+		}
 		if accepting && gone > acceptLast {
 			accepting = false
 			ln.Close()
 		}
 		quiet := time.Since(srv.loop.started)-time.Duration(srv.newest.Load()) > quietLast
-		if gone > acceptLast && quiet && srv.loop.held.Load() == 0 || gone > longest+endMargin {
+		if heir {
+			clients, _ := srv.sockets.held()
+			quiet = clients == 0
+		}
+		if gone > acceptLast && quiet && srv.inHand.Load() == 0 && srv.loop.held.Load() == 0 || gone > longest+endMargin {
 			break
 		}
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -219,7 +219,7 @@
 // share sets how many idle connections one endpoint gets. An endpoint holds only so many, and a whole fleet that each
 // kept what a burst had opened would fill its table: our own descriptors over the endpoints named are our part.
 func (u *upstream) share(endpoints int) {
-	u.idleMost.Store(max(int64(u.sockets.usable/max(endpoints, 1)), 1))
+	u.idleMost.Store(max(int64(u.sockets.whole/max(endpoints, 1)), 1))
 }
 
 func (u *upstream) find(id logic.EndpointID) *endpoint {
