--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	readTime   = 2 * time.Second        // from connecting, or a request's first byte, to its last; 3 s are owed
 	idleTime   = 2 * time.Second        // no less is allowed; clients may hold a third of our descriptors, kept ones too
 	freshTime  = 100 * time.Millisecond // who said nothing for so long gives way first
 	slowTime   = 500 * time.Millisecond // who has not sent a whole request by then gives way last
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -23,6 +23,8 @@
 	header   http.Header
 	body     []byte
 	comeBack logic.Millis
+	length   int64 // of what flows
+	flow     *flow // in place of body, for a long one
 }
 
 // exchange is one in hand. The server's goroutine reads answer; all else belongs to the loop once it is queued.
@@ -31,12 +33,16 @@
 	product  logic.ProductID
 	tenant   logic.TenantID
 	abandon  logic.Millis
+	wait     logic.Millis // from its last byte
+	coming   bool         // its last byte has not come
+	from     *paced       // where the rest comes from
 	request  request
 	answer   chan answer // holds one: the loop never waits for the client
 	answered bool
 	late     bool // its last leg ran out of time
 	out      int
 	legs     []*leg
+	streams  *leg // whose answer is passed on
 }
 
 // event is something that sockets tell the loop.
@@ -51,6 +57,17 @@
 		reply *reply
 		fault *legError
 	}
+	legBegan struct {
+		x     *exchange
+		n     logic.LegNo
+		reply *reply
+	}
+	bodySpent struct{ x *exchange }
+	bodyWhole struct{ x *exchange }
+	bodyCame  struct { // from the client
+		x       *exchange
+		abandon logic.Millis
+	}
 	listing struct {
 		inventory
 		watch    int
@@ -112,6 +129,7 @@
 	up        *upstream
 	list      *lists
 	hands     *hands
+	products  []logic.Product
 	urgent    struct {
 		sync.Mutex
 		events []event
@@ -128,7 +146,7 @@
 	c *Counters, log *zap.Logger) *loop {
 	l := &loop{
 		queue: make(chan event, 4096), started: time.Now(), open: map[logic.ExchangeID]*exchange{},
-		past: map[logic.ExchangeID]bool{}, up: up, list: d, hands: h, counters: c, log: log, ctx: ctx,
+		past: map[logic.ExchangeID]bool{}, up: up, list: d, hands: h, products: t.Products, counters: c, log: log, ctx: ctx,
 	}
 	l.urgent.some = make(chan struct{}, 1)
 	l.startedMs = float64(l.started.UnixNano()) / 1e6
@@ -239,6 +257,8 @@
 		return e.x
 	case legOver:
 		return e.x
+	case legBegan:
+		return e.x
 	}
 	return nil
 }
@@ -280,7 +300,7 @@
 	l.held.Add(1)
 	l.open[x.id] = x
 	l.set(alarm{at: x.abandon + l.grace, guard: x})
-	l.module.Arrive(x.id, x.product, x.tenant, x.abandon)
+	l.module.Arrive(x.id, x.product, x.tenant, x.abandon, x.coming)
 }
 
 func (e departure) happen(l *loop) {
@@ -299,12 +319,56 @@
 	if x.answered {
 		return
 	}
+	if x.coming && x.out > 0 {
+		l.set(alarm{at: l.now + l.grace + 500, guard: x}) // its time does not run yet; its pace bounds it
+		return
+	}
+	if l.now < x.abandon+l.grace {
+		return // another alarm is set: its time began later than it seemed
+	}
 	l.counters.overdue.Add(1)
 	l.reply(x, answer{status: http.StatusGatewayTimeout})
 	l.module.Left(x.id)
 	l.forget(x)
 }
 
+// legBegan hands a long answer to the client from its first bytes on. The first one wins.
+func (e legBegan) happen(l *loop) {
+	x := e.x
+	if x.answered || l.open[x.id] != x {
+		x.legs[e.n].cancel()
+		return
+	}
+	x.streams = x.legs[e.n]
+	x.streams.took = l.now - x.streams.sent
+	l.reply(x, answer{status: http.StatusOK, header: e.reply.header, length: e.reply.length, flow: e.reply.flow})
+	l.module.Began(x.id, e.n)
+}
+
+func (e bodySpent) happen(l *loop) {
+	if l.open[e.x.id] == e.x {
+		l.module.Spent(e.x.id)
+	}
+}
+
+func (e bodyCame) happen(l *loop) {
+	if x := e.x; l.open[x.id] == x && x.coming {
+		x.coming, x.abandon = false, e.abandon
+		l.set(alarm{at: x.abandon + l.grace, guard: x})
+	}
+}
+
+func (e bodyWhole) happen(l *loop) {
+	if x := e.x; l.open[x.id] == x {
+		for _, g := range x.legs {
+			if !g.collected {
+				g.sent = l.now
+			}
+		}
+		l.module.Whole(x.id, x.abandon)
+	}
+}
+
 func (e legOver) happen(l *loop) {
 	x, g, outcome := e.x, e.x.legs[e.n], logic.Satisfied
 	if g.collected {
@@ -323,7 +387,14 @@
 	if outcome == logic.Satisfied && !x.answered {
 		l.reply(x, answer{status: http.StatusOK, header: e.reply.header, body: e.reply.body})
 	}
-	l.module.Ended(x.id, e.n, outcome, l.now-g.sent, x.answered)
+	took := l.now - g.sent
+	if x.coming {
+		took = 0 // the client's time, not the endpoint's
+	}
+	if g == x.streams {
+		took = g.took
+	}
+	l.module.Ended(x.id, e.n, outcome, took, x.answered && (x.streams == nil || x.streams == g))
 }
 
 // faultOf keeps a missing fault from becoming an error that holds nothing.
@@ -420,11 +491,14 @@
 		giveUpAfter = left
 	}
 	g := &leg{sent: l.now, giveUp: time.Now().Add(span(giveUpAfter)), request: &x.request, to: l.up.find(to)}
+	l.schedule(x, g)
 	g.ctx, g.cancel = context.WithCancel(l.ctx)
 	n := logic.LegNo(len(x.legs))
 	x.legs = append(x.legs, g)
 	x.out++
 	over := legOver{x: x, n: n}
+	g.began = func(r *reply) { l.post(legBegan{x, n, r}) }
+	g.spent, g.whole = func() { l.post(bodySpent{x}) }, func() { l.post(bodyWhole{x}) }
 	if g.to == nil || x.answered {
 		over.fault = &legError{outcome: logic.NotSent}
 	} else {
@@ -448,6 +522,19 @@
 	}()
 }
 
+// schedule tells a leg when its answer is passed on at the latest, and whether a pause in it may be used for another leg.
+func (l *loop) schedule(x *exchange, g *leg) {
+	if x.product < 0 || int(x.product) >= len(l.products) {
+		g.patient = true
+		return
+	}
+	p := l.products[x.product]
+	g.patient = p.Effect == logic.SingleUse
+	if p.Expected > 0 {
+		g.beginBy = time.Now().Add(span(p.Expected * beginShare))
+	}
+}
+
 func (l *loop) Cancel(id logic.ExchangeID, n logic.LegNo) {
 	if x := l.open[id]; x != nil && int(n) < len(x.legs) {
 		x.legs[n].cancel()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -40,12 +41,14 @@
 	pair      *pair                     // nil where no other process may come
 	open      atomic.Bool               // the door takes clients
 	succeeded atomic.Bool               // another process has the door
+	handlers  atomic.Int64              // requests whose head was read and that are not ended
 	inHand    atomic.Int64              // requests taken and not ended, answers on their way included
 	until     atomic.Pointer[time.Time] // once ending: nobody waits longer, and after it nothing is taken
 	newest    atomic.Int64              // when an exchange was last taken, nanoseconds after the loop started
 	pace      pace
 	bodies    atomic.Int64 // bytes of requests in hand
 	bodyRoom  int64
+	keptMost  int64 // bytes of a request that is kept whole
 }
 
 // pace notices when the process stood still, be it stopped or without a core: what is read just after may have come
@@ -104,7 +107,7 @@
 func (s *front) httpServer() *http.Server {
 	complaints, _ := zap.NewStdLogAt(s.log, zap.WarnLevel)
 	return &http.Server{
-		Handler: s, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: headMost,
+		Handler: s, ReadTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: headMost,
 		ErrorLog: complaints, DisableGeneralOptionsHandler: true, // which answers OPTIONS * with 200
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, clientKey{}, c)
@@ -134,6 +137,9 @@
 	wrote, class := false, logic.ProductID(-1)
 	defer func() {
 		if fault := recover(); fault != nil {
+			if fault == http.ErrAbortHandler {
+				panic(fault) // no defect: the connection is broken off
+			}
 			s.counters.panics.Add(1)
 			s.log.Error("panic at a connection", zap.String("fault", fmt.Sprint(fault)), zap.Stack("stack"))
 			if x != nil {
@@ -164,19 +170,19 @@
 			return
 		}
 	}
-	size := max(r.ContentLength, 0)
-	if r.ContentLength < 0 {
-		size = bodyMost
+	size := r.ContentLength
+	if size < 0 || size > s.keptMost {
+		size = bodyMost + flowMost // what is kept of a long one at any time
 	}
-	if size <= bodyMost {
+	if r.ContentLength <= longMost {
 		defer s.bodies.Add(-size)
 		if s.bodies.Add(size) > s.bodyRoom || k != nil && k.excess {
 			s.turnAway(w, r)
 			return
 		}
 	}
-	s.inHand.Add(1)
-	defer s.inHand.Add(-1)
+	s.handlers.Add(1)
+	defer s.handlers.Add(-1)
 	var status int
 	var why string
 	if x, status, why = s.read(w, r, came); x == nil {
@@ -193,19 +199,80 @@
 		return
 	}
 	class = x.request.class // the loop owns the rest from here on
+	rest, from := x.request.rest, x.from
 	s.newest.Store(int64(time.Since(s.loop.started)))
 	s.loop.post(arrival{x})
-	select {
-	case a := <-x.answer:
-		wrote = true
-		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(takeTime))
+	var pumped chan error
+	if rest == nil {
+		s.inHand.Add(1)
+		defer s.inHand.Add(-1)
+	} else {
+		pumped = make(chan error, 1)
+		go func() { pumped <- s.pump(x, rest, from) }()
+	}
+	for {
+		gone := r.Context().Done()
+		if pumped != nil {
+			gone = nil // net/http ends the context when the body breaks off, of which the pump knows more
+		}
+		select {
+		case a := <-x.answer:
+			wrote = true
+			if pumped != nil { // before its end: what is left of it is read for a while, and nothing behind it
+				w.Header().Set("Connection", "close")
+				defer func() { <-pumped }()
+				rest.drop()
+			}
+			s.give(w, a, class)
+			return
+		case err := <-pumped:
+			pumped = nil
+			if err == nil { // taken only now
+				s.inHand.Add(1)
+				defer s.inHand.Add(-1)
+				continue
+			}
+			s.counters.badInput.Add(1)
+			s.loop.post(departure{x})
+			hangUpAfter(w)
+			status := http.StatusBadRequest
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				status = http.StatusRequestTimeout
+			}
+			http.Error(w, "the body did not come whole", status)
+			return
+		case <-gone:
+			s.loop.post(departure{x})
+			// Net/http answers 200 for a handler that says nothing, and one that closed its sending only would take that
+			// empty answer for an endpoint's.
+			answer{status: http.StatusBadGateway}.write(w)
+			return
+		}
+	}
+}
+
+// give writes the answer, and counts it under its class once it is written.
+func (s *front) give(w http.ResponseWriter, a answer, class logic.ProductID) {
+	if a.flow == nil {
 		a.write(w)
 		s.counters.class(class).answered(a.status)
-	case <-r.Context().Done():
-		s.loop.post(departure{x})
-		// Net/http answers 200 for a handler that says nothing, and one that closed its sending only would take that
-		// empty answer for an endpoint's.
-		answer{status: http.StatusBadGateway}.write(w)
+		return
+	}
+	s.counters.streams.Add(1)
+	defer s.bodies.Add(-2 * flowMost)
+	s.bodies.Add(2 * flowMost)
+	defer a.flow.drop()
+	switch whole, fault := a.pass(w); {
+	case whole:
+		s.counters.class(class).answered(a.status)
+	case fault != nil:
+		s.counters.streamsBroken.Add(1)
+		s.log.Debug("a long answer broke off", zap.Error(fault))
+		s.counters.class(class).answered(http.StatusBadGateway)
+		panic(http.ErrAbortHandler) // the client must see that it is not whole
+	default: // the client went away
+		s.counters.left.Add(1)
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -226,7 +293,9 @@
 // never come, and a prompt answer would wait for that.
 func hangUpAfter(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(turnedTime))
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(turnedTime))
+	control.SetWriteDeadline(time.Now().Add(takeTime))
 }
 
 // dropped are headers of one connection only, and those that this program writes itself.
@@ -251,28 +320,39 @@
 		return nil, http.StatusBadRequest, "one Request-Timeout is needed, such as 480m or 480000u"
 	case !named:
 		return nil, http.StatusNotFound, "class and path must name one product" // endpoints would serve it, or void it
-	case r.ContentLength > bodyMost:
+	case r.ContentLength > longMost:
 		return nil, http.StatusRequestEntityTooLarge, "body too long"
 	}
-	// An answer that keeps to a time counted from the end of a standstill comes too late.
-	sent := came.Add(-s.pace.behind(came.Sub(s.loop.started)))
-	control := http.NewResponseController(w)
 	if most := s.longest(product); most > 0 {
 		wait = min(wait, most) // nobody is promised more, and exchange, body and alarm would stay as long
 	}
-	// One time for all of the read: who sends a body byte by byte must not begin anew behind the head.
-	readBy := came.Add(min(span(wait), readTime))
-	if k, ok := r.Context().Value(clientKey{}).(*client); ok && !k.readBy.IsZero() && k.readBy.Before(readBy) {
-		readBy = k.readBy
+	control := http.NewResponseController(w)
+	from := &paced{from: r.Body, control: control, by: came.Add(bodyStart)}
+	if k, ok := r.Context().Value(clientKey{}).(*client); ok && k.readBy.After(from.by) {
+		from.by = k.readBy
+	}
+	var body []byte
+	var rest *incoming
+	var err error
+	sent := came
+	if r.ContentLength > s.keptMost {
+		rest = &incoming{flow: newFlow(), length: r.ContentLength}
+	} else {
+		most := s.keptMost
+		if r.ContentLength < 0 {
+			most = bodyMost
+		}
+		body, err = io.ReadAll(io.LimitReader(from, most+1))
+		if sent = time.Now(); int64(len(body)) > most {
+			rest = &incoming{flow: newFlow(), length: -1}
+		} else {
+			control.SetReadDeadline(time.Time{})
+		}
 	}
-	control.SetReadDeadline(readBy)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
-	control.SetReadDeadline(time.Time{})
-	var long *http.MaxBytesError
+	// An answer that keeps to a time counted from the end of a standstill comes too late.
+	sent = sent.Add(-s.pace.behind(sent.Sub(s.loop.started)))
 	var slow net.Error
 	switch {
-	case errors.As(err, &long):
-		return nil, http.StatusRequestEntityTooLarge, "body too long"
 	case errors.As(err, &slow) && slow.Timeout():
 		return nil, http.StatusRequestTimeout, "the body did not come in time"
 	case err != nil:
@@ -293,14 +373,24 @@
 		}
 	}
 	r.Header.WriteSubset(&head, dropped)
-	if len(body) > 0 || r.Method == http.MethodPost {
+	switch {
+	case rest != nil && rest.length < 0:
+		head.WriteString("Transfer-Encoding: chunked\r\n")
+	case rest != nil:
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", rest.length)
+	case len(body) > 0 || r.Method == http.MethodPost:
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
 	}
-	return &exchange{
+	x = &exchange{
 		id: logic.ExchangeID(id[0]), product: product, tenant: s.names.Tenant([]byte(r.Header.Get("Tenant"))),
-		abandon: s.loop.at(sent) + wait, answer: make(chan answer, 1),
-		request: request{method: r.Method, class: class, head: head.Bytes(), body: body},
-	}, 0, ""
+		abandon: s.loop.at(sent) + wait, wait: wait, answer: make(chan answer, 1), coming: rest != nil,
+		request: request{method: r.Method, class: class, head: head.Bytes(), body: body, rest: rest},
+	}
+	if rest != nil {
+		control.EnableFullDuplex() // an answer may come before the request's end
+		x.from = from
+	}
+	return x, 0, ""
 }
 
 // product is named by class and path. It is taken for unknown, and so for single-use, unless the method agrees too: what is
@@ -357,7 +447,14 @@
 
 // write sends an answer off, whole.
 func (a answer) write(w http.ResponseWriter) {
-	h := w.Header()
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(takeTime))
+	a.head(w.Header())
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	w.Write(a.body)
+}
+
+func (a answer) head(h http.Header) {
 	for name, values := range a.header {
 		if !dropped[name] && name != "Server-Load" && name != "Not-Started" {
 			h[name] = values
@@ -369,7 +466,4 @@
 	if a.comeBack > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(float64(a.comeBack)/1000, 'f', 3, 64))
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	w.WriteHeader(a.status)
-	w.Write(a.body)
 }
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -269,7 +269,7 @@
 	l.grace = s.grace / 2
 	srv := &front{
 		loop: l, names: s.names, products: s.terms.Products, sockets: books, counters: counters, log: log,
-		bodyRoom: int64(s.MemoryMB) << 20 / 4,
+		bodyRoom: int64(s.MemoryMB) << 20 / 4, keptMost: max(int64(s.MemoryMB)<<20/256, bodyMost),
 	}
 	go l.run()
 	go sweeping(ctx, up)
@@ -357,7 +357,7 @@
 			clients, _ := srv.sockets.held()
 			quiet = clients == 0
 		}
-		if gone > acceptLast && quiet && srv.inHand.Load() == 0 && srv.loop.held.Load() == 0 || gone > longest+endMargin {
+		if gone > acceptLast && quiet && srv.handlers.Load() == 0 && srv.loop.held.Load() == 0 || gone > longest+endMargin {
 			break
 		}
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -70,10 +70,12 @@
 	return e
 }
 
-// reply is an endpoint's whole 200.
+// reply is an endpoint's 200: whole, or passed on as it comes.
 type reply struct {
 	header http.Header
 	body   []byte
+	length int64 // of what flows; -1 if nobody has said
+	flow   *flow
 }
 
 // leg is one request on its way to one endpoint.
@@ -85,15 +87,33 @@
 	giveUp    time.Time
 	ctx       context.Context
 	cancel    context.CancelFunc
-	collected bool // its outcome was handed to the module
+	collected bool                      // its outcome was handed to the module
+	over      atomic.Pointer[time.Time] // in place of giveUp, for a request that is still coming
+	beginBy   time.Time                 // an answer of unknown length is passed on from here
+	patient   bool                      // nobody could repeat it: an answer that pauses is waited for
+
+	began        func(*reply) // its answer is passed on
+	spent, whole func()       // its request can't be sent again; its last byte is written
+	took         logic.Millis // until its answer began
 }
 
+// end is when nobody waits for it any more.
+func (g *leg) end() time.Time {
+	if over := g.over.Load(); over != nil {
+		return *over
+	}
+	return g.giveUp
+}
+
+func (g *leg) onCancel(f func()) (stop func() bool) { return context.AfterFunc(g.ctx, f) }
+
 // request is an exchange's request as endpoints get it.
 type request struct {
 	method string
 	class  logic.ProductID // by its name, whatever may be done with it
 	head   []byte          // request line and headers, but for the time left and the empty line
 	body   []byte
+	rest   *incoming // what comes behind body, of a long one
 }
 
 // endpoint is where one server listens, and what connections to it are idle.
@@ -114,23 +134,37 @@
 	since  time.Time
 	stall  time.Duration
 	leg    *leg // whose answer is read
+
+	counters *Counters
+	started  bool        // some of it has come
+	flowing  atomic.Bool // that answer is passed on: no time but its pace bounds it
 }
 
 // Read gives an answer that has begun only so long to go on. A spoilt one has lengths that don't fit or a head without
 // end, and leaves its connection open: the leg would hold its exchange until there is no time for another.
 func (k *link) Read(p []byte) (int, error) {
-	n, err := k.conn.Read(p)
-	if g := k.leg; n > 0 && g != nil {
-		if until := time.Now().Add(k.stall); until.Before(g.giveUp) {
-			k.conn.SetReadDeadline(until)
-			if g.ctx.Err() != nil {
-				k.conn.SetReadDeadline(time.Unix(1, 0)) // it was called off meanwhile
-			}
-		}
+	if g := k.leg; g != nil && k.started {
+		k.wait(g)
 	}
+	n, err := k.conn.Read(p)
+	k.started = k.started || n > 0
 	return n, err
 }
 
+// wait sets until when more of an answer has to come.
+func (k *link) wait(g *leg) {
+	until, now := g.end(), time.Now()
+	if k.flowing.Load() {
+		until = now.Add(flowStall)
+	} else if pause := now.Add(k.stall); !g.patient && pause.Before(until) {
+		until = pause
+	}
+	k.conn.SetReadDeadline(until)
+	if g.ctx.Err() != nil {
+		k.conn.SetReadDeadline(time.Unix(1, 0)) // it was called off meanwhile
+	}
+}
+
 // upstream holds all endpoints.
 type upstream struct {
 	mu        sync.Mutex
@@ -342,7 +376,7 @@
 		u.sockets.give()
 		return nil, failed(dialling, err, g.ctx.Err() != nil)
 	}
-	k := &link{conn: conn, addr: g.addr, stall: u.stall}
+	k := &link{conn: conn, addr: g.addr, stall: u.stall, counters: u.counters}
 	k.most.R = k
 	k.reader = bufio.NewReaderSize(&k.most, answerHead)
 	return k, nil
@@ -370,6 +404,12 @@
 		reusable = stop() && !g.to.shut.Load()
 		return nil, failed(writing, errors.New("drains, or called off, before the first byte"), g.ctx.Err() != nil)
 	}
+	if g.request.rest != nil {
+		var keepOpen bool
+		r, keepOpen, fault = u.runLong(k, g, text[:2])
+		reusable = stop() && keepOpen
+		return r, fault
+	}
 	if _, err := text.WriteTo(k.conn); err != nil {
 		stop()
 		return nil, failed(writing, err, g.ctx.Err() != nil)
@@ -378,17 +418,13 @@
 	r, keepOpen, fault := k.read(g)
 	// A connection whose leg was called off or timed out may still carry the late answer: it is not used again.
 	reusable = stop() && keepOpen
-	if fault != nil && fault.cause == errUnframed {
-		u.counters.unframed.Add(1)
-	}
 	return r, fault
 }
 
 var (
-	errUnframed = errors.New("an answer that ends with its connection can't be told from a broken one")
-	errTooLong  = errors.New("body too long")
-	errSpoilt   = errors.New("not an answer")
-	errStalled  = errors.New("the answer began and did not go on")
+	errTooLong = errors.New("body too long")
+	errSpoilt  = errors.New("not an answer")
+	errStalled = errors.New("the answer began and did not go on")
 )
 
 // head waits for a whole head, and sees that its framing is sound.
@@ -418,18 +454,23 @@
 	broken := func(err error) *legError {
 		var net net.Error
 		switch {
+		case err == errDropped:
+			return failed(written, err, true)
 		case k.most.N <= 0:
 			return odd(errTooLong)
 		case !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &net):
 			return odd(err)
-		case errors.Is(err, os.ErrDeadlineExceeded) && g.ctx.Err() == nil && time.Now().Before(g.giveUp):
+		case errors.Is(err, os.ErrDeadlineExceeded) && g.ctx.Err() == nil && time.Now().Before(g.end()):
 			return odd(errStalled)
 		}
 		return failed(written, err, g.ctx.Err() != nil)
 	}
-	k.leg = g
-	defer func() { k.leg = nil }()
-	k.most.N = headMost + bodyMost
+	k.leg, k.started = g, k.reader.Buffered() > 0
+	defer func() {
+		k.leg = nil
+		k.flowing.Store(false)
+	}()
+	k.most.N = headMost + longMost
 	var got *http.Response
 	for informed := 0; got == nil || got.StatusCode < 200; informed++ {
 		if informed > informMost {
@@ -443,19 +484,34 @@
 			return nil, false, broken(err)
 		}
 	}
-	body, err := readBody(got)
+	var body []byte
+	var err error
+	long := got.ContentLength > bodyMost || got.ContentLength < 0
 	switch {
+	case got.StatusCode != http.StatusOK || !long:
+		body, err = readBody(got)
+	case got.ContentLength > longMost:
+		err = errTooLong
+	default:
+		if len(got.TransferEncoding) == 0 {
+			k.counters.unframed.Add(1) // its end is the connection's: whole if that ends in good order
+		}
+		r, body, err = k.stream(g, got, got.ContentLength)
+	}
+	switch {
+	case r != nil && err != nil:
+		return r, false, broken(err)
+	case r != nil:
+		return r, !got.Close && k.reader.Buffered() == 0, nil
 	case err == errTooLong:
 		return nil, false, odd(err)
-	case err == errUnframed:
-		return nil, false, failed(written, err, false)
 	case err != nil && got.StatusCode == http.StatusOK:
 		return nil, false, broken(err)
 	}
 	keepOpen = err == nil && !got.Close && k.reader.Buffered() == 0
 	switch s := got.StatusCode; {
 	case s == http.StatusOK:
-		return &reply{got.Header, body}, keepOpen, nil
+		return &reply{header: got.Header, body: body}, keepOpen, nil
 	case (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) && got.Header.Get("Not-Started") == "1":
 		return nil, keepOpen, &legError{reach: answered, outcome: logic.Full, cause: errors.New(got.Status)}
 	default:
@@ -467,9 +523,6 @@
 	if got.ContentLength > bodyMost {
 		return nil, errTooLong
 	}
-	if got.ContentLength < 0 && len(got.TransferEncoding) == 0 {
-		return nil, errUnframed
-	}
 	var b bytes.Buffer
 	if got.ContentLength > 0 {
 		b.Grow(int(got.ContentLength) + bytes.MinRead)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,8 +2,9 @@
 //
 // How to call it: New starts an instance from its Terms. At sets the clock before each event. The
 // list comes as ListStarts (a whole list only), Listed for each entry, ListEnds, or as ListFailed;
-// an exchange as Arrive, then Began, Ended for each of its legs, Left; a due timer as Alarm. All that
-// an instance wants done goes through the Outgoing it was given. Both are declared in types.go.
+// what staff say as Out, Back; an exchange as Arrive, then Began, Ended for each of its legs, Left,
+// with Spent and Whole between if it is still coming; a due timer as Alarm. All that an instance wants
+// done goes through the Outgoing it was given. Both are declared in types.go.
 //
 // An exchange's place keeps in next the step that awaits its next result. Ids that are not known
 // any more, late timers and late outcomes are harmless: they find no place, or stepOver.
@@ -12,6 +13,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -81,12 +83,6 @@
 	seen
 }
 
-// byHand is what staff said of an endpoint. It outlasts the endpoint's entry in the list.
-type byHand struct {
-	out  bool
-	back Millis // it counts as started then
-}
-
 // seen is what was learned of an endpoint's process.
 type seen struct {
 	weight, room float64 // room: legs it may have
@@ -118,6 +114,7 @@
 	to                          *endpoint
 	sent                        Millis
 	ended, neverRan, late, lost bool
+	quiet, streams              bool // quiet: no work for its endpoint now, in transfer only
 }
 
 type what int
@@ -149,6 +146,8 @@
 	horizon Millis // after it no answer is worth anything
 	legs    []leg
 	out     int
+	coming  bool // its request has not come whole
+	spent   bool // nor can it be sent again: what its leg took was not kept
 }
 
 // Balancer is one instance.
@@ -171,9 +170,10 @@
 	// The list.
 	endpoints, ready []*endpoint // in the order first heard of
 	known            map[EndpointID]*endpoint
-	hands            map[EndpointID]byHand
-	odds             []float64 // of the ready ones, in a pick
-	sizes            float64   // of the ready ones
+	banned           map[EndpointID]bool   // out by hand; it outlasts the entry in the list
+	back             map[EndpointID]Millis // when that ended: it counts as started then
+	odds             []float64             // of the ready ones, in a pick
+	sizes            float64               // of the ready ones
 	askWait          Millis
 
 	// Exchanges in hand.
@@ -201,8 +201,8 @@
 		mustAsk: t.MustAsk, strange: 1,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
-		hands: map[EndpointID]byHand{}, open: map[ExchangeID]*exchange{}, retries: retryMost / 4,
-		ratioAt: now, advice: t.LongestAdvice,
+		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
+		retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice,
 	}
 	b.roomLeast = math.Min(roomLeast/b.fleet, 1)
 	// The list service takes calls in turn and drops those that wait too long: many that ask soon get none.
@@ -261,26 +261,27 @@
 		b.renew(e) // a restart: what was known of the old process misleads about the new one
 	}
 	// Back by hand means restarted, whatever older start the list still tells.
-	e.zone, e.cell, e.size, e.readyAt = zone, cell, size, max(readyAt, b.hands[id].back, 0)
+	e.zone, e.cell, e.size, e.readyAt = zone, cell, size, max(readyAt, b.back[id], 0)
 	if size <= 0 {
 		e.size = 1
 	}
 	e.listed, e.up = h != Gone, h == Running
-	e.running = e.up && !b.hands[id].out
+	e.running = e.up && !b.banned[id]
 }
 
 // Out takes an endpoint out by hand: from here on it gets nothing new until Back, whatever the list says.
 func (b *Balancer) Out(id EndpointID) {
-	b.hands[id] = byHand{out: true}
+	b.banned[id] = true
 	b.gather()
 }
 
 // Back ends that. The endpoint was restarted meanwhile: what was known misleads, and it is cold from now.
 func (b *Balancer) Back(id EndpointID) {
-	if !b.hands[id].out {
+	if !b.banned[id] {
 		return
 	}
-	b.hands[id] = byHand{back: b.now}
+	delete(b.banned, id)
+	b.back[id] = b.now
 	if e := b.known[id]; e != nil {
 		b.renew(e)
 		e.readyAt, e.called = b.now, true
@@ -310,11 +311,7 @@
 		}
 		return !e.listed && e.legs == 0
 	})
-	for id, h := range b.hands {
-		if !h.out && b.now > h.back+b.cold {
-			delete(b.hands, id)
-		}
-	}
+	maps.DeleteFunc(b.back, func(_ EndpointID, at Millis) bool { return b.now > at+b.cold })
 	b.gather()
 	if !fromDisk {
 		b.askWait = b.askFirst
@@ -326,7 +323,7 @@
 func (b *Balancer) gather() {
 	b.ready, b.sizes = b.ready[:0], 0
 	for _, e := range b.endpoints {
-		if e.running = e.up && e.listed && !b.hands[e.id].out; e.running {
+		if e.running = e.up && e.listed && !b.banned[e.id]; e.running {
 			b.ready = append(b.ready, e)
 			b.sizes += e.size
 		}
@@ -347,16 +344,15 @@
 
 // ---- an exchange's way
 
-// Arrive takes an exchange; from here on it is owed one final answer.
-func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, abandon Millis) {
+// Arrive takes an exchange; from here on it is owed one final answer. One whose request is still coming
+// gets no copy, and no further leg once Spent.
+func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, abandon Millis, coming bool) {
 	x := b.seat()
-	x.id, x.product, x.tenant, x.horizon = id, &b.unknown, t, abandon
+	x.id, x.product, x.tenant, x.coming, x.spent = id, &b.unknown, t, coming, false
 	if p >= 0 && int(p) < len(b.products) {
 		x.product = &b.products[p]
 	}
-	if x.product.Overdue <= 0 && x.product.Expected > 0 {
-		x.horizon = min(abandon, b.now+x.product.Expected)
-	}
+	b.limit(x, abandon)
 	b.open[id] = x
 	if why := b.admits(x); why != Legged {
 		b.giveUp(x, why)
@@ -365,6 +361,44 @@
 	}
 }
 
+// Spent tells that the request can't be sent again.
+func (b *Balancer) Spent(id ExchangeID) {
+	if x := b.open[id]; x != nil {
+		x.spent = true
+	}
+}
+
+// Whole tells that the request's last byte is written: its leg's work begins, and its time.
+func (b *Balancer) Whole(id ExchangeID, abandon Millis) {
+	if x := b.open[id]; x != nil && x.coming {
+		x.coming = false
+		b.limit(x, abandon)
+		for n := range x.legs {
+			if l := &x.legs[n]; !l.ended {
+				l.sent = b.now
+				b.hush(l, false)
+			}
+		}
+	}
+}
+
+func (b *Balancer) limit(x *exchange, abandon Millis) {
+	if x.horizon = abandon; x.product.Overdue <= 0 && x.product.Expected > 0 {
+		x.horizon = min(abandon, b.now+x.product.Expected)
+	}
+}
+
+// hush: a leg in transfer only takes no room at its endpoint.
+func (b *Balancer) hush(l *leg, quiet bool) {
+	step := 1
+	if quiet {
+		step = -1
+	}
+	if quiet != l.quiet {
+		l.quiet, l.to.legs, b.out = quiet, l.to.legs+step, b.out+step
+	}
+}
+
 // admits, unless it has a reason not to, sheds by the share of lost legs, the less worthy first. Who asks
 // again at once finds the door shut.
 func (b *Balancer) admits(x *exchange) Reason {
@@ -437,6 +471,9 @@
 	x.legs = append(x.legs, leg{to: e, sent: b.now})
 	x.out, e.legs, b.out, b.sent = x.out+1, e.legs+1, b.out+1, b.sent+1
 	x.next = stepRunning
+	if x.coming {
+		b.hush(&x.legs[len(x.legs)-1], true)
+	}
 	b.Send(x.id, e.id, patience)
 	if b.copies && len(x.legs) == 1 && b.samples >= copyFloor && b.timer < x.horizon-b.now {
 		b.wakeFor(x, b.timer, copyDue)
@@ -465,10 +502,14 @@
 
 // Began hands over a streamed answer's start, after which the leg is the client's own.
 func (b *Balancer) Began(id ExchangeID, n LegNo) {
-	if x := b.open[id]; x != nil && int(n) < len(x.legs) {
-		x.legs[n].to.fine = b.now
+	if x := b.open[id]; x != nil && int(n) < len(x.legs) && !x.legs[n].ended {
+		l := &x.legs[n]
+		l.streams = true
+		b.hush(l, true)
+		b.account(x, l, Satisfied, float64(b.now-l.sent))
 		b.cancelOthers(x, n)
 		x.next(b, x, result{what: streamBegan})
+		b.drain()
 	}
 }
 
@@ -487,8 +528,11 @@
 	}
 	l := &x.legs[n]
 	l.ended, l.neverRan = true, o == Full || o == NoConnection || o == NotSent
-	x.out, l.to.legs, b.out = x.out-1, l.to.legs-1, b.out-1
-	b.account(x, l, o, float64(took))
+	x.out--
+	b.hush(l, true)
+	if !l.streams || o != Satisfied && o != Cancelled {
+		b.account(x, l, o, float64(took))
+	}
 	x.next(b, x, result{what: legEnded, outcome: o, closed: closed})
 	b.drain()
 }
@@ -575,7 +619,7 @@
 
 // copy sends the second leg of the design, unless all are slow: then copies only feed the trouble.
 func (b *Balancer) copy(x *exchange) {
-	if x.out != 1 || len(x.legs) > 1 || b.ratio >= copyRatio || b.lostLong > lostCopies {
+	if x.out != 1 || len(x.legs) > 1 || x.coming || b.ratio >= copyRatio || b.lostLong > lostCopies {
 		return
 	}
 	if e := b.pick(x); e != nil && b.send(x, e) {
@@ -587,7 +631,7 @@
 
 // gate holds every rule that a leg must keep.
 func (b *Balancer) gate(x *exchange, e *endpoint) bool {
-	if !e.running || len(x.legs) >= b.maxLegs || x.horizon <= b.now {
+	if !e.running || len(x.legs) >= b.maxLegs || x.horizon <= b.now || x.spent && len(x.legs) > 0 {
 		return false
 	}
 	first := true
@@ -940,7 +984,7 @@
 	b.count()
 	for _, x := range b.places {
 		for n := range x.legs {
-			if l := &x.legs[n]; !l.ended && !l.lost {
+			if l := &x.legs[n]; !l.ended && !l.lost && !l.quiet {
 				b.weigh(x, l, Unclear, float64(b.now-l.sent))
 			}
 		}
