--- a/cmd/lynxjunction/upgrade_test.go
+++ b/cmd/lynxjunction/upgrade_test.go
@@ -211,6 +211,10 @@
 		next := w.start()
 		status, _ := now.call("POST", "/endpoints/s0/maint")
 		assert.Equal(t, 200, status, "at the old one, while the new one starts")
+		for _, p := range []*process{now, next} {
+			require.Eventually(t, func() bool { status, _ := p.call("GET", "/healthcheck"); return status > 0 }, 6*time.Second, time.Millisecond)
+			p.Process.Signal(syscall.SIGHUP) // a new configuration in the middle of it
+		}
 		next.ready()
 		if round > 0 {
 			status, _ = next.call("POST", "/endpoints/s0/ready")
@@ -274,3 +278,26 @@
 	assert.Equal(t, 200, ask(), "after one that hung")
 	last.end(6 * time.Second)
 }
+
+// SIGTERM may come before the new process has said yes: whoever connects waits in the queue that both have.
+func TestTermBeforeTheYes(t *testing.T) {
+	w := newWorld(t)
+	old := w.start()
+	old.ready()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	over := make(chan []string, 1)
+	go func() {
+		_, wrong := w.load(ctx)
+		over <- wrong
+	}()
+	time.Sleep(100 * time.Millisecond)
+	next := w.start()
+	require.Eventually(t, func() bool { status, _ := next.call("GET", "/healthcheck"); return status > 0 }, 6*time.Second, time.Millisecond)
+	old.end(6 * time.Second)
+	next.ready()
+	time.Sleep(100 * time.Millisecond)
+	stop()
+	assert.Empty(t, <-over)
+	next.end(6 * time.Second)
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -42,6 +42,7 @@
 	open      atomic.Bool               // the door takes clients
 	succeeded atomic.Bool               // another process has the door
 	handlers  atomic.Int64              // requests whose head was read and that are not ended
+	transfers atomic.Int64              // of these, long requests that still come and long answers on their way
 	inHand    atomic.Int64              // requests taken and not ended, answers on their way included
 	until     atomic.Pointer[time.Time] // once ending: nobody waits longer, and after it nothing is taken
 	newest    atomic.Int64              // when an exchange was last taken, nanoseconds after the loop started
@@ -208,7 +209,11 @@
 		defer s.inHand.Add(-1)
 	} else {
 		pumped = make(chan error, 1)
-		go func() { pumped <- s.pump(x, rest, from) }()
+		s.transfers.Add(1)
+		go func() {
+			defer s.transfers.Add(-1)
+			pumped <- s.pump(x, rest, from)
+		}()
 	}
 	for {
 		gone := r.Context().Done()
@@ -259,6 +264,8 @@
 		return
 	}
 	s.counters.streams.Add(1)
+	s.transfers.Add(1)
+	defer s.transfers.Add(-1)
 	defer s.bodies.Add(-2 * flowMost)
 	s.bodies.Add(2 * flowMost)
 	defer a.flow.drop()
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -25,11 +25,12 @@
 )
 
 const (
-	acceptLast = 650 * time.Millisecond // after SIGTERM connections come for up to 0.4 s
-	quietLast  = 300 * time.Millisecond // without a new exchange, before kept connections are closed
-	addrWait   = 5 * time.Second        // for the address, at the start
-	memoryPart = 7                      // tenths of the limit
-	endMargin  = 400 * time.Millisecond // beyond the longest abandon time: less than SIGKILL leaves
+	acceptLast   = 650 * time.Millisecond // after SIGTERM connections come for up to 0.4 s
+	quietLast    = 300 * time.Millisecond // without a new exchange, before kept connections are closed
+	addrWait     = 5 * time.Second        // for the address, at the start
+	memoryPart   = 7                      // tenths of the limit
+	transferLast = time.Minute            // of long transfers after SIGTERM, if nobody sends SIGKILL
+	endMargin    = 400 * time.Millisecond // beyond the longest abandon time: less than SIGKILL leaves
 )
 
 // Start is all that a sidecar is told.
@@ -357,7 +358,11 @@
 			clients, _ := srv.sockets.held()
 			quiet = clients == 0
 		}
-		if gone > acceptLast && quiet && srv.handlers.Load() == 0 && srv.loop.held.Load() == 0 || gone > longest+endMargin {
+		if gone > acceptLast && quiet && srv.handlers.Load() == 0 && srv.loop.held.Load() == 0 {
+			break
+		}
+		// A transfer that goes on has no abandon time: whoever sends SIGKILL decides how long it may take.
+		if gone > longest+endMargin && srv.transfers.Load() == 0 || gone > transferLast {
 			break
 		}
 	}
