--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -245,17 +246,73 @@
 	return length, chunked, nil
 }
 
-// door is the listener with its count of descriptors.
+// door is the listener with its count of descriptors. It may be held shut for a while: who connects then waits in the queue.
 type door struct {
 	*net.TCPListener
 	sockets *sockets
+	mu      sync.Mutex
+	changed sync.Cond
+	shut    bool
+	closed  bool
+}
+
+func newDoor(ln *net.TCPListener, s *sockets) *door {
+	d := &door{TCPListener: ln, sockets: s}
+	d.changed.L = &d.mu
+	return d
+}
+
+// hold shuts the door, or opens it again.
+func (d *door) hold(shut bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.shut == shut || d.closed {
+		return
+	}
+	d.shut = shut
+	d.changed.Broadcast()
+	if shut {
+		d.SetDeadline(time.Unix(1, 0))
+	} else {
+		d.SetDeadline(time.Time{})
+	}
+}
+
+func (d *door) held() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.shut
+}
+
+func (d *door) Close() error {
+	d.mu.Lock()
+	d.closed = true
+	d.changed.Broadcast()
+	d.mu.Unlock()
+	return d.TCPListener.Close()
 }
 
 func (d *door) Accept() (net.Conn, error) {
-	d.sockets.await()
-	conn, err := d.AcceptTCP()
-	if err != nil {
+	for {
+		d.mu.Lock()
+		for d.shut && !d.closed {
+			d.changed.Wait()
+		}
+		d.mu.Unlock()
+		d.sockets.await()
+		conn, err := d.AcceptTCP()
+		switch {
+		case err == nil:
+			return newClient(conn, d.sockets), nil
+		case errors.Is(err, os.ErrDeadlineExceeded) && !d.over():
+			continue
+		}
 		return nil, err
 	}
-	return newClient(conn, d.sockets), nil
+}
+
+func (d *door) over() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.closed
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -38,6 +38,7 @@
 	sockets   *sockets
 	counters  *Counters
 	log       *zap.Logger
+	way       atomic.Pointer[door]
 	pair      *pair                     // nil where no other process may come
 	open      atomic.Bool               // the door takes clients
 	succeeded atomic.Bool               // another process has the door
@@ -97,11 +98,20 @@
 	}
 }
 
-// serves tells whether an exchange that comes now would find all it needs.
-func (s *front) serves() bool {
+// serves tells whether all clients may come here alone.
+func (s *front) serves() bool { return s.takes() && (s.pair == nil || s.pair.clear()) }
+
+// takes tells whether an exchange that comes now would find all it needs.
+func (s *front) takes() bool {
 	return s.open.Load() && s.loop.loaded.Load() && s.until.Load() == nil && (s.pair == nil || s.pair.settled())
 }
 
+// yields tells whether a new process takes the clients, and kept connections should go there.
+func (s *front) yields() bool {
+	way := s.way.Load()
+	return way != nil && way.held()
+}
+
 type clientKey struct{}
 
 // httpServer wires net/http to it.
@@ -155,7 +165,7 @@
 		}
 	}()
 	// Behind a body in chunks, or by the old protocol, nothing is read that might have been hidden in it.
-	if s.until.Load() != nil || s.sockets.crowded() || len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+	if s.until.Load() != nil || s.yields() || s.sockets.crowded() || len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
 		w.Header().Set("Connection", "close")
 	}
 	if r.Header.Get("Request-Id") == "" && r.Method == http.MethodGet {
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -287,7 +287,9 @@
 func (s *Start) serve(ctx context.Context, srv *front, ln *net.TCPListener) error {
 	web := srv.httpServer()
 	failed := make(chan error, 1)
-	go func() { failed <- web.Serve(&door{ln, srv.sockets}) }()
+	way := newDoor(ln, srv.sockets)
+	srv.way.Store(way)
+	go func() { failed <- web.Serve(way) }()
 	srv.open.Store(true)
 	srv.log.Info("serving", zap.String("name", s.Name), zap.String("listen", ln.Addr().String()))
 	select {
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -27,6 +27,7 @@
 	tellBeat    = 50 * time.Millisecond
 	tellLast    = 20 * tellBeat // of silence, after which the other is taken for hung
 	lineMost    = listMost + handsMost
+	clearWait   = 5400 * time.Millisecond // for the old process's transfers, before the yes that is due within 6 s
 	heardWait   = 1500 * time.Millisecond // for the new process's own watch to tell something, before it says yes
 	namePath    = 100                     // bytes that a Unix socket's name may have
 )
@@ -168,6 +169,7 @@
 	other    *net.UnixConn
 	younger  bool // the other one is the new process
 	serves   atomic.Bool
+	moving   atomic.Int64 // the other's long transfers; below 0 while it has not said
 	together atomic.Bool
 	born     time.Time
 	heir     bool // this process has inherited
@@ -185,6 +187,21 @@
 	return !p.heir || p.front.loop.heard.Load() || time.Since(p.born) > heardWait
 }
 
+// clear tells whether the old process has no transfer under way that its end would cut off, or was waited for long enough.
+func (p *pair) clear() bool {
+	p.mu.Lock()
+	old := p.other != nil && !p.younger
+	p.mu.Unlock()
+	return !old || p.moving.Load() == 0 || time.Since(p.born) > clearWait
+}
+
+// yield lets the new process take the clients, or takes them again. The socket stays ours too: the new one may die.
+func (p *pair) yield(to bool) {
+	if way := p.front.way.Load(); way != nil {
+		way.hold(to)
+	}
+}
+
 // join speaks with the other process until its line ends.
 func (p *pair) join(ctx context.Context, line *net.UnixConn, read *bufio.Reader, younger bool) {
 	p.mu.Lock()
@@ -193,6 +210,7 @@
 	}
 	p.other, p.younger = line, younger
 	p.serves.Store(false)
+	p.moving.Store(-1)
 	p.mu.Unlock()
 	p.log.Info("two processes are this sidecar", zap.Bool("the_other_is_new", younger))
 	p.share(0)
@@ -204,6 +222,8 @@
 		text, err := readLine(read)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			p.serves.Store(false) // it hangs, and holds what it holds
+			p.moving.Store(0)
+			p.yield(false)
 			continue
 		}
 		if err != nil {
@@ -213,7 +233,9 @@
 		if err != nil {
 			break
 		}
-		p.serves.Store(v.GetBool("serves"))
+		p.serves.Store(v.GetBool("serves") || v.GetBool("takes")) // the old one may end from then on
+		p.moving.Store(v.GetInt64("moving"))
+		p.yield(younger && v.GetBool("takes"))
 		p.share(v.GetInt("held"))
 	}
 	line.Close()
@@ -242,7 +264,8 @@
 func (p *pair) say(line *net.UnixConn) error {
 	clients, upstream := p.front.sockets.held()
 	line.SetWriteDeadline(time.Now().Add(tellLast))
-	_, err := fmt.Fprintf(line, "{\"held\":%d,\"serves\":%t}\n", clients+upstream, p.front.serves())
+	_, err := fmt.Fprintf(line, "{\"held\":%d,\"moving\":%d,\"takes\":%t,\"serves\":%t}\n", clients+upstream,
+		p.front.transfers.Load(), p.front.takes(), p.front.serves())
 	if err != nil {
 		line.Close()
 	}
@@ -268,6 +291,7 @@
 
 func (p *pair) alone() {
 	p.together.Store(false)
+	p.yield(false)
 	debug.SetMemoryLimit(p.memory * memoryPart)
 	p.front.sockets.shareWith(-1)
 	p.log.Info("one process is this sidecar")
--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -135,3 +135,43 @@
 	r.loop.post(listing{inventory: inventory{version: 2}, watch: 1})
 	assert.Eventually(t, r.front.serves, 5*time.Second, time.Millisecond)
 }
+
+// Transfers under way would be cut off when the old process ends: the new one takes all clients first, and says yes when
+// the old one has none left. Should the new one die meanwhile, the old one opens its door again.
+func TestTransfersAreDrainedBeforeTheYes(t *testing.T) {
+	dir := t.TempDir()
+	r := begin(t, known(newStandIn(t, say(fine, true))), withConsole(dir))
+	assert.Eventually(t, func() bool { return r.loop.loaded.Load() && r.front.way.Load() != nil }, 5*time.Second, time.Millisecond)
+	way := r.front.way.Load()
+	old := &pair{dir: dir, memory: 10 << 20, front: r.front, door: way.TCPListener, log: zap.NewNop()}
+	require.NoError(t, old.offer(t.Context()))
+	r.front.transfers.Add(1)
+	h, err := inherit(dir)
+	require.NoError(t, err)
+	defer h.door.Close()
+	next := begin(t, known(newStandIn(t, say(fine, true))), withConsole(""))
+	p := &pair{dir: dir, memory: 10 << 20, front: next.front, log: zap.NewNop(), heir: true, born: time.Now()}
+	next.loop.heard.Store(true)
+	assert.Eventually(t, next.front.serves, 5*time.Second, time.Millisecond, "alone")
+	done := make(chan bool)
+	next.loop.post(probe(func(*loop) { close(done) }))
+	<-done
+	next.front.pair = p
+	go p.join(t.Context(), h.line, h.read, false)
+	assert.Eventually(t, way.held, 5*time.Second, time.Millisecond, "the old one takes nobody any more")
+	assert.Eventually(t, func() bool { return p.moving.Load() == 1 }, 5*time.Second, time.Millisecond)
+	assert.False(t, next.front.serves(), "not while the old one has a transfer")
+	c := r.dial() // it waits in the queue that both have
+	c.Write([]byte(ask("1", "GET", "look", "")))
+	r.front.transfers.Add(-1)
+	assert.Eventually(t, next.front.serves, 5*time.Second, time.Millisecond)
+	assert.True(t, old.succeeds())
+	p.born = time.Now().Add(-clearWait)
+	p.moving.Store(7)
+	assert.True(t, p.clear(), "it was waited for long enough")
+	h.line.Close()
+	got, body := exchangeOn(c, "")
+	require.NotNil(t, got, body)
+	assert.Equal(t, 200, got.StatusCode, "the new one died: the old one takes who waits")
+	assert.False(t, way.held())
+}
