--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -236,10 +236,11 @@
 
 // Many long answers at once to clients who don't read: what is held stays within its bound.
 func TestManyLongAnswersAreBounded(t *testing.T) {
+	part := make([]byte, 1<<16)
 	s := newStandIn(t, func(c net.Conn, _ *http.Request) bool {
 		c.Write([]byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 32<<20)))
 		for err := error(nil); err == nil; {
-			_, err = c.Write(make([]byte, 1<<16))
+			_, err = c.Write(part)
 		}
 		return false
 	})
