--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -184,6 +184,13 @@
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	srv := s.assemble(life, log)
+	if s.dir != "" { // before anybody can ask whether we serve
+		srv.pair = &pair{dir: s.dir, memory: s.memory(), front: srv, door: ln, log: log, born: time.Now(), heir: past != nil}
+		srv.pair.moving.Store(-1)
+	}
+	if past != nil {
+		srv.loop.hands.inherit(past.out, past.ever)
+	}
 	if s.Console != "" {
 		at, err := s.listen(ctx, s.Console)
 		if err != nil {
@@ -194,18 +201,13 @@
 		defer web.Close()
 		go desk.serve(web, at)
 	}
-	if s.dir != "" {
-		p := &pair{dir: s.dir, memory: s.memory(), front: srv, door: ln, log: log, born: time.Now(), heir: past != nil}
-		srv.pair = p
-		if past != nil {
-			srv.loop.hands.inherit(past.out, past.ever)
-			go func() {
-				p.join(life, past.line, past.read, false)
-				p.offered(life)
-			}()
-		} else {
-			p.offered(life)
-		}
+	if past != nil {
+		go func() {
+			srv.pair.join(life, past.line, past.read, false)
+			srv.pair.offered(life)
+		}()
+	} else if s.dir != "" {
+		srv.pair.offered(life)
 	}
 	go s.follow(life, srv, again, read)
 	err = s.serve(ctx, srv, ln)
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -168,6 +168,7 @@
 	mu       sync.Mutex
 	other    *net.UnixConn
 	younger  bool // the other one is the new process
+	joined   bool // there was another
 	serves   atomic.Bool
 	moving   atomic.Int64 // the other's long transfers; below 0 while it has not said
 	together atomic.Bool
@@ -190,7 +191,7 @@
 // clear tells whether the old process has no transfer under way that its end would cut off, or was waited for long enough.
 func (p *pair) clear() bool {
 	p.mu.Lock()
-	old := p.other != nil && !p.younger
+	old := p.other != nil && !p.younger || p.heir && !p.joined
 	p.mu.Unlock()
 	return !old || p.moving.Load() == 0 || time.Since(p.born) > clearWait
 }
@@ -208,7 +209,7 @@
 	if p.other != nil {
 		p.other.Close() // the newest counts
 	}
-	p.other, p.younger = line, younger
+	p.other, p.younger, p.joined = line, younger, true
 	p.serves.Store(false)
 	p.moving.Store(-1)
 	p.mu.Unlock()
--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -151,6 +151,7 @@
 	defer h.door.Close()
 	next := begin(t, known(newStandIn(t, say(fine, true))), withConsole(""))
 	p := &pair{dir: dir, memory: 10 << 20, front: next.front, log: zap.NewNop(), heir: true, born: time.Now()}
+	p.moving.Store(-1)
 	next.loop.heard.Store(true)
 	assert.Eventually(t, next.front.serves, 5*time.Second, time.Millisecond, "alone")
 	done := make(chan bool)
