--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -225,4 +225,6 @@
 	} else {
 		l.module.Back(e.id)
 	}
+	l.published = 0 // whoever was told yes may ask for the figures at once
+	l.publish()
 }
--- a/internal/sidecar/console_test.go
+++ b/internal/sidecar/console_test.go
@@ -174,6 +174,7 @@
 	assert.Equal(t, 200, r.status(ask("before", "GET", "look", "")))
 	plain, began := r.loop.up.dial, make(chan bool)
 	say("maint")
+	assert.Equal(t, 1, stats(t, desk).GetInt("endpoints_excluded"), "the figures know it when the yes is out")
 	assert.False(t, r.loop.up.dropIdle(), "idle connections are closed")
 	began2 := time.Now()
 	assert.Equal(t, 503, r.status(ask("nowhere", "GET", "look", "")))
