--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -300,7 +300,7 @@
 	l.held.Add(1)
 	l.open[x.id] = x
 	l.set(alarm{at: x.abandon + l.grace, guard: x})
-	l.module.Arrive(x.id, x.product, x.tenant, x.abandon, x.coming)
+	l.module.Arrive(x.id, x.product, x.tenant, x.abandon, 0, x.coming)
 }
 
 func (e departure) happen(l *loop) {
@@ -563,6 +563,9 @@
 
 func (l *loop) Wake(after logic.Millis, t logic.TimerID) { l.set(alarm{at: l.now + after, id: t}) }
 
+// Tell is for a pool. No page gives a protocol for it yet: Decode refuses settings that ask for it.
+func (l *loop) Tell(logic.PeerID, []byte) {}
+
 func (l *loop) Watch() {
 	if !l.list.live {
 		l.list.asked = l.now
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -26,10 +26,11 @@
 	}
 	allowed, rules := settings.Get("allowed"), settings.Get("guarantees")
 	t := logic.Terms{
-		Seed: seed, Fleet: settings.GetInt("fleet-size"),
-		Zone: names.Zone(settings.GetStringBytes("locality")), OverShare: settings.GetFloat64("overage-value"),
+		Seed: seed, Fleet: settings.GetInt("fleet-size"), Me: logic.PeerID(settings.GetInt("me")),
+		Peers: allowed.GetBool("peers"),
+		Zone:  names.Zone(settings.GetStringBytes("locality")), OverShare: settings.GetFloat64("overage-value"),
 		MaxLegs: allowed.GetInt("max-legs"), SecondCopies: allowed.GetBool("second-copies"),
-		MayCancel: allowed.GetBool("may-cancel"),
+		MayCancel: allowed.GetBool("may-cancel"), ByWork: string(settings.GetStringBytes("value-by")) == "work",
 		MustAsk:   string(settings.GetStringBytes("registry-mode")) != "pushed",
 		AskWithin: Millis(rules, "ask-within"), Cold: Millis(rules, "cold"), Fall: Millis(rules, "fall"),
 		ColdFrom: rules.GetFloat64("cold-from"), FallMultiple: rules.GetFloat64("fall-multiple"),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -132,7 +133,7 @@
 		i.members(string(v.GetStringBytes("scope")), h.lists[v.GetInt("ref")])
 	case "QUERY":
 		i.module.Arrive(logic.ExchangeID(v.GetStringBytes("ref")), i.terms.Product(v.GetStringBytes("service")),
-			i.terms.Tenant(v.GetStringBytes("customer")), terms.Millis(v, "deadline"), false)
+			i.terms.Tenant(v.GetStringBytes("customer")), terms.Millis(v, "deadline"), v.GetFloat64("cost"), false)
 	case "REPLY":
 		i.module.Ended(logic.ExchangeID(v.GetStringBytes("ref")), logic.LegNo(v.GetInt("try")),
 			outcomes[string(v.GetStringBytes("status"))], terms.Millis(v, "duration"), v.GetBool("closed"))
@@ -140,6 +141,10 @@
 		i.module.Began(logic.ExchangeID(v.GetStringBytes("ref")), logic.LegNo(v.GetInt("try")))
 	case "CLIENT_GONE":
 		i.module.Left(logic.ExchangeID(v.GetStringBytes("ref")))
+	case "MEMO":
+		if text, err := hex.DecodeString(string(v.GetStringBytes("contents"))); err == nil {
+			i.module.Told(logic.PeerID(v.GetInt("origin-peer")), text)
+		}
 	case "ALARM":
 		i.module.Alarm(logic.TimerID(v.GetUint64("label")))
 	}
@@ -252,6 +257,13 @@
 	i.write(o)
 }
 
+func (i *instance) Tell(to logic.PeerID, text []byte) {
+	o := i.action("WRITE_PEER")
+	o.Set("to", i.arena.NewNumberInt(int(to)))
+	o.Set("contents", i.arena.NewString(hex.EncodeToString(text)))
+	i.write(o)
+}
+
 func (i *instance) Watch() {
 	o := i.action("WATCH")
 	o.Set("want", i.arena.NewTrue())
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -17,6 +17,7 @@
 func (r *record) Dismiss(x ExchangeID, _ Reason, _ Millis)   { r.add("dismiss %s", x) }
 func (r *record) Forfeit(x ExchangeID, _ Reason)             { r.add("forfeit %s", x) }
 func (r *record) Wake(after Millis, t TimerID)               { r.add("wake %d %.4f", t, after) }
+func (r *record) Tell(to PeerID, text []byte)                { r.add("tell %d %x", to, text) }
 func (r *record) Watch()                                     { r.add("watch") }
 func (r *record) Note(line string)                           { r.add("note %s", line) }
 
@@ -58,7 +59,7 @@
 // arrive hands in an exchange and returns where its leg went, "" if nowhere.
 func arrive(b *Balancer, r *record, x ExchangeID, p ProductID) EndpointID {
 	r.take()
-	b.Arrive(x, p, -1, b.now+4000, false)
+	b.Arrive(x, p, -1, b.now+4000, 0, false)
 	return sentTo(r)
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,6 +63,11 @@
 	failGain                  = 0.05       // of a leg in the share of its product's legs that fail
 	rememberShare, queueShare = 0.8, 0.12  // of the time a group remembers; of the time left that may be queued
 	shareSlack, lostCopies    = 1.1, 0.3   // on a tenant's share; share of lost legs that is everybody's trouble
+	poolSize, poolLeast       = 12, 4      // sidecars that share an endpoint; endpoints that one has at the least
+	poolStart                 = 3.0        // a room at first
+	tellLength, tellVersion   = 8, 1       // of a message
+	tellParts                 = 16.0       // of a mean leg's work that it tells
+	costGain                  = 0.005      // of an exchange in the mean hint
 	calledBy                  = 3.0        // fall times in which who was called back earns its first leg
 	awayFall                  = 300.0      // how the draw of other zones falls with the price of the way
 	listBackoff, listBackMost = 0.05, 0.25 // of ask-within: first and longest wait after a failure,
@@ -75,11 +80,15 @@
 	zone                ZoneID
 	cell                CellID
 	size                float64 // as listed
+	mark                uint32  // its name in messages
+	kin                 []kin   // with whom a pool shares it
+	work, others        float64 // in legs of mean work: ours, and what they told of
 	readyAt             Millis
 	up, listed, running bool // up: by the list's word; running: and not out by hand
 	told, called        bool // told: staff know that it is doubtful; called: back by hand, no leg since
 	legs                int
 	changed             Millis // last change of doubt
+	turn                byte   // of our last message
 	seen
 }
 
@@ -94,6 +103,14 @@
 	of           []streak
 }
 
+// kin is what another sidecar of the pool told of its legs at an endpoint.
+type kin struct {
+	peer PeerID
+	turn byte
+	work float64
+	at   Millis
+}
+
 // streak is how often in a row an endpoint failed one product, which it may do while it serves the others.
 type streak struct {
 	length       int
@@ -114,7 +131,8 @@
 	to                          *endpoint
 	sent                        Millis
 	ended, neverRan, late, lost bool
-	quiet, streams              bool // quiet: no work for its endpoint now, in transfer only
+	units                       float64 // its work, in mean legs
+	quiet, streams              bool    // quiet: no work for its endpoint now, in transfer only
 }
 
 type what int
@@ -143,7 +161,8 @@
 	next    step
 	product *product
 	tenant  TenantID
-	horizon Millis // after it no answer is worth anything
+	units   float64 // of work, by its hint
+	horizon Millis  // after it no answer is worth anything
 	legs    []leg
 	out     int
 	coming  bool // its request has not come whole
@@ -161,15 +180,19 @@
 	unknown                                             product
 	tenants, admitted                                   []float64 // share of each; fading counts
 	overShare, fleet, coldFrom, awayOdds                float64
-	coldRate, roomLeast, fade                           float64 // coldRate: legs over capacity
+	coldRate, roomLeast, fade, rise, start              float64 // coldRate: legs over capacity
 	maxLegs                                             int
-	copies, cancels, mustAsk                            bool
+	copies, cancels, mustAsk, byWork, pool              bool
+	me                                                  PeerID
+	others, cost, hints                                 float64 // legs that the pool told of; mean hint
+	text                                                [tellLength]byte
 	advice                                              Millis // the longest that clients heed; 0 for none
 	askFirst, askMost, cold, fall, beat, slack, lasting Millis
 
 	// The list.
 	endpoints, ready []*endpoint // in the order first heard of
 	known            map[EndpointID]*endpoint
+	marks            map[uint32]*endpoint
 	banned           map[EndpointID]bool   // out by hand; it outlasts the entry in the list
 	back             map[EndpointID]Millis // when that ended: it counts as started then
 	odds             []float64             // of the ready ones, in a pick
@@ -198,15 +221,19 @@
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
 		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel,
-		mustAsk: t.MustAsk, strange: 1,
-		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
+		mustAsk: t.MustAsk, byWork: t.ByWork, strange: 1, pool: t.Peers && t.Fleet > 1, me: t.Me,
+		marks: map[uint32]*endpoint{},
+		cold:  t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
 		retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice,
 	}
-	b.roomLeast = math.Min(roomLeast/b.fleet, 1)
+	b.roomLeast, b.rise, b.start = math.Min(roomLeast/b.fleet, 1), roomRise, 1.0
+	if b.pool { // who knows of all legs works with whole rooms, as a single sidecar would
+		b.roomLeast, b.rise, b.start = 1, roomRise*poolSize, poolStart
+	}
 	// The list service takes calls in turn and drops those that wait too long: many that ask soon get none.
-	patience := t.AskWithin * Millis(1+listCrowd*(1-b.roomLeast))
+	patience := t.AskWithin * Millis(1+listCrowd*(1-math.Min(roomLeast/b.fleet, 1)))
 	b.askFirst, b.askMost, b.askWait = patience*listBackoff, patience*listBackMost, patience*listBackoff
 	shortest, longest := Millis(math.Inf(1)), Millis(0)
 	for n, p := range t.Products {
@@ -224,7 +251,7 @@
 	b.beat, b.usual, b.lasting = shortest*beatShare, float64(shortest)*usualAtStart, longest
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
 	b.Wake(b.beat, 0)
-	if b.mustAsk && t.Knows && b.roomLeast < 1 {
+	if b.mustAsk && t.Knows && b.fleet > roomLeast {
 		b.Wake(b.askFirst*Millis(b.chance()), 1) // most of a fleet may have been restarted with us
 	} else if b.mustAsk {
 		b.Watch()
@@ -253,8 +280,8 @@
 func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
 	e := b.known[id]
 	if e == nil {
-		e = &endpoint{id: id}
-		b.known[id] = e
+		e = &endpoint{id: id, mark: markOf(id)}
+		b.known[id], b.marks[e.mark] = e, e
 		b.endpoints = append(b.endpoints, e)
 		b.renew(e)
 	} else if readyAt > e.readyAt {
@@ -292,7 +319,7 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.seen = seen{weight: weightMost, room: math.Min(b.roomLeast*(1+b.roomLeast), 1)}
+	e.seen = seen{weight: weightMost, room: math.Min(b.roomLeast*(1+b.roomLeast), 1) * b.start}
 	e.of = make([]streak, len(b.products)+1)
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 	if n := float64(len(b.ready)); n > 0 {
@@ -308,6 +335,7 @@
 	b.endpoints = slices.DeleteFunc(b.endpoints, func(e *endpoint) bool {
 		if !e.listed && e.legs == 0 {
 			delete(b.known, e.id)
+			delete(b.marks, e.mark)
 		}
 		return !e.listed && e.legs == 0
 	})
@@ -323,14 +351,120 @@
 func (b *Balancer) gather() {
 	b.ready, b.sizes = b.ready[:0], 0
 	for _, e := range b.endpoints {
-		if e.running = e.up && e.listed && !b.banned[e.id]; e.running {
+		if e.running = e.up && e.listed && !b.banned[e.id]; e.running && b.mine(e) {
 			b.ready = append(b.ready, e)
 			b.sizes += e.size
 		}
 	}
+	b.fill()
 	b.odds = slices.Grow(b.odds[:0], len(b.ready))[:len(b.ready)]
 }
 
+// ---- the pool
+
+// markOf is FNV-1a.
+func markOf(id EndpointID) uint32 {
+	h := uint32(2166136261)
+	for _, c := range []byte(id) {
+		h = (h ^ uint32(c)) * 16777619
+	}
+	return h
+}
+
+// mix spreads a mark over the pool; every sidecar gets the same from it.
+func mix(mark uint32, n int) uint64 {
+	h := (uint64(mark)<<20 + uint64(n) + 1) * 0x9e3779b97f4a7c15
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// mine: a pool shares an endpoint among few, who tell each other of their legs there and keep connections to it.
+func (b *Balancer) mine(e *endpoint) bool {
+	if !b.pool {
+		return true
+	}
+	for n := 0; len(e.kin) < poolSize && n < 2*poolSize; n++ {
+		if peer := PeerID(mix(e.mark, n) % uint64(b.fleet)); e.share(peer) < 0 {
+			e.kin = append(e.kin, kin{peer: peer})
+		}
+	}
+	return e.share(b.me) >= 0
+}
+
+// share is a sidecar's place among those who share an endpoint, -1 for none.
+func (e *endpoint) share(p PeerID) int {
+	return slices.IndexFunc(e.kin, func(k kin) bool { return k.peer == p })
+}
+
+// fill takes in further ones, by a draw that stays the same, where chance left us few or trouble did.
+func (b *Balancer) fill() {
+	for b.pool {
+		fit := 0
+		var next *endpoint
+		for _, e := range b.ready {
+			if !e.doubted {
+				fit++
+			}
+		}
+		for _, e := range b.endpoints {
+			if e.running && !slices.Contains(b.ready, e) &&
+				(next == nil || mix(e.mark, -2-int(b.me)) < mix(next.mark, -2-int(b.me))) {
+				next = e
+			}
+		}
+		if fit >= poolLeast || next == nil {
+			return
+		}
+		b.ready = append(b.ready, next)
+		b.sizes += next.size
+	}
+}
+
+// tell lets those who share an endpoint know of our legs there. The whole amount is told, so that a lost message
+// misleads only until the next.
+func (b *Balancer) tell(e *endpoint) {
+	if !b.pool {
+		return
+	}
+	e.turn++
+	work := uint16(math.Min(e.work*tellParts+0.5, 65535))
+	b.text = [tellLength]byte{tellVersion, e.turn, byte(e.mark >> 24), byte(e.mark >> 16), byte(e.mark >> 8), byte(e.mark),
+		byte(work >> 8), byte(work)}
+	for n, k := range e.kin {
+		if n < poolSize && k.peer != b.me {
+			b.Tell(k.peer, b.text[:])
+		}
+	}
+}
+
+// Told takes what another sidecar wrote. What is malformed, from nobody or overtaken by a later one changes nothing.
+func (b *Balancer) Told(from PeerID, text []byte) {
+	if !b.pool || len(text) != tellLength || text[0] != tellVersion || from < 0 || float64(from) >= b.fleet {
+		return
+	}
+	e := b.marks[uint32(text[2])<<24|uint32(text[3])<<16|uint32(text[4])<<8|uint32(text[5])]
+	if e == nil || len(e.kin) == 0 {
+		return
+	}
+	n := e.share(from)
+	if n < 0 && len(e.kin) < 2*poolSize { // one who filled up
+		n = len(e.kin)
+		e.kin = append(e.kin, kin{peer: from, turn: text[1] - 1})
+	}
+	if n < 0 {
+		return
+	}
+	if k := &e.kin[n]; int8(text[1]-k.turn) > 0 || b.now-k.at > b.lasting {
+		work := float64(uint16(text[6])<<8|uint16(text[7])) / tellParts
+		e.others += work - k.work
+		k.turn, k.work, k.at = text[1], work, b.now
+		if len(b.queue) > 0 {
+			b.drain()
+		}
+	}
+}
+
 // ListFailed asks again, later each time but well inside the time after which silence counts as told.
 func (b *Balancer) ListFailed() {
 	if b.mustAsk {
@@ -346,12 +480,17 @@
 
 // Arrive takes an exchange; from here on it is owed one final answer. One whose request is still coming
 // gets no copy, and no further leg once Spent.
-func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, abandon Millis, coming bool) {
+func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, abandon Millis, cost float64, coming bool) {
 	x := b.seat()
 	x.id, x.product, x.tenant, x.coming, x.spent = id, &b.unknown, t, coming, false
 	if p >= 0 && int(p) < len(b.products) {
 		x.product = &b.products[p]
 	}
+	if x.units = 1; cost > 0 {
+		b.hints++
+		b.cost += math.Max(1/b.hints, costGain) * (cost - b.cost)
+		x.units = cost / b.cost
+	}
 	b.limit(x, abandon)
 	b.open[id] = x
 	if why := b.admits(x); why != Legged {
@@ -396,6 +535,10 @@
 	}
 	if quiet != l.quiet {
 		l.quiet, l.to.legs, b.out = quiet, l.to.legs+step, b.out+step
+		if l.to.work += float64(step) * l.units; l.to.legs == 0 {
+			l.to.work = 0
+		}
+		b.tell(l.to)
 	}
 }
 
@@ -468,11 +611,11 @@
 	}
 	// A leg gets all the time left: cutting it for a further leg wastes more work than it saves.
 	patience := max(x.horizon-b.now-b.slack, b.slack/2, 1)
-	x.legs = append(x.legs, leg{to: e, sent: b.now})
-	x.out, e.legs, b.out, b.sent = x.out+1, e.legs+1, b.out+1, b.sent+1
+	x.legs = append(x.legs, leg{to: e, sent: b.now, units: x.units, quiet: true})
+	x.out, b.sent = x.out+1, b.sent+1
 	x.next = stepRunning
-	if x.coming {
-		b.hush(&x.legs[len(x.legs)-1], true)
+	if !x.coming {
+		b.hush(&x.legs[len(x.legs)-1], false)
 	}
 	b.Send(x.id, e.id, patience)
 	if b.copies && len(x.legs) == 1 && b.samples >= copyFloor && b.timer < x.horizon-b.now {
@@ -671,12 +814,13 @@
 // pick draws two by weight and takes the one with fewer legs. Doubtful ones have room because they fail.
 func (b *Balancer) pick(x *exchange) *endpoint {
 	total := 0.0
-	b.rooms = 0
+	b.rooms, b.others = 0, 0
 	for i, e := range b.ready {
 		part := b.capacityNow(e)
 		b.rooms += e.room * part // a cold server's room is not there yet
+		b.others += e.others
 		b.odds[i] = 0
-		if e.legs > 0 && float64(e.legs) > e.room-b.chance() || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
+		if held := e.held(); held > 0 && held > e.room-b.chance() || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
 			continue
 		}
 		if e.called {
@@ -703,7 +847,7 @@
 	// A large fleet's many small rooms must not add up to a crowd. Where none shows, a heavy sidecar needs more
 	// than its part from the start.
 	calm := math.Max(1-roomCalm*(b.lost+b.lostLong), 0)
-	if total <= 0 || float64(b.out+1) > math.Max(b.rooms*roomOver, legsFree)*(1+roomMore*calm) {
+	if total <= 0 || float64(b.out+1)+b.others > math.Max(b.rooms*roomOver, legsFree)*(1+roomMore*calm) {
 		return nil
 	}
 	one := b.draw(total)
@@ -717,6 +861,9 @@
 	return b.ready[one]
 }
 
+// held is all that an endpoint has to do, as far as we know, in legs of mean work.
+func (e *endpoint) held() float64 { return e.work + e.others }
+
 // familiar tells who lately answered in time: a light sidecar meets the others too seldom to know them.
 func (b *Balancer) familiar(e *endpoint) bool {
 	return e.fine > e.lost && b.now-e.fine < familiarShare*b.lasting
@@ -734,7 +881,7 @@
 
 // load is the design's count of legs in flight.
 func (b *Balancer) load(e *endpoint) float64 {
-	l := float64(e.legs + 1)
+	l := e.held() + 1
 	if e.zone != b.zone {
 		l /= math.Sqrt(b.awayOdds)
 	}
@@ -793,7 +940,10 @@
 
 // rank is value for work; a tenant beyond its share comes after those within theirs.
 func (b *Balancer) rank(x *exchange) float64 {
-	r := x.product.Value / x.product.usual
+	r := x.product.Value
+	if !b.byWork {
+		r /= x.product.usual
+	}
 	t := int(x.tenant)
 	if t >= 0 && t < len(b.admitted) && b.admitted[t] > shareSlack*b.tenants[t]*b.admittedAll {
 		r *= b.overShare
@@ -894,9 +1044,9 @@
 func (b *Balancer) widen(l *leg, late bool) {
 	switch e := l.to; {
 	case late && l.sent >= e.braked:
-		e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
-	case !late && float64(e.legs+1) > e.room/2 && float64(b.out+1) > b.rooms*roomUse:
-		e.room += roomRise * math.Max(e.room, 1)
+		e.room, e.braked = math.Max(math.Min(e.room, e.held()+1)*roomFall, b.roomLeast), b.now
+	case !late && e.held()+1 > e.room/2 && float64(b.out+1)+b.others > b.rooms*roomUse:
+		e.room += b.rise * math.Max(e.room, 1)
 	}
 }
 
@@ -979,6 +1129,11 @@
 			}
 			e.tokens = math.Min(e.tokens+allowed*float64(b.beat), math.Max(1, allowed*float64(b.fall)/4))
 		}
+		for n := range e.kin {
+			if k := &e.kin[n]; k.work > 0 && b.now-k.at > b.lasting { // its end was lost, or who told is no more
+				e.others, k.work = e.others-k.work, 0
+			}
+		}
 		b.judge(e)
 	}
 	b.count()
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -516,7 +516,7 @@
 			b.known["a"].room, b.known["b"].room = c.room, c.room
 			b.known["c"].room, b.known["d"].room = 4, 4
 			if c.room == 0 {
-				b.known["a"].legs, b.known["b"].legs = 1, 1
+				b.known["a"].work, b.known["b"].work = 1, 1
 			}
 			if to := arrive(b, r, x, replayable); to == "c" || to == "d" {
 				away++
@@ -557,7 +557,7 @@
 		id := ids[n%3]
 		n++
 		b.At(b.now + 50)
-		b.Arrive(id, replayable, -1, b.now+4000, false)
+		b.Arrive(id, replayable, -1, b.now+4000, 0, false)
 		b.Ended(id, 0, Satisfied, 40, true)
 	}
 	for range 400 {
@@ -573,6 +573,7 @@
 func (nowhere) Dismiss(ExchangeID, Reason, Millis)  {}
 func (nowhere) Forfeit(ExchangeID, Reason)          {}
 func (nowhere) Wake(Millis, TimerID)                {}
+func (nowhere) Tell(PeerID, []byte)                 {}
 func (nowhere) Watch()                              {}
 func (nowhere) Note(string)                         {}
 
@@ -706,7 +707,7 @@
 		b, r := begin("ab")
 		p := &b.products[replayable]
 		p.Overdue, p.Abandon, p.best = c.overdue, 4000, 300
-		b.Arrive("x", replayable, -1, b.now+4000, false)
+		b.Arrive("x", replayable, -1, b.now+4000, 0, false)
 		assert.NotEmpty(t, sentTo(r))
 		b.weigh(b.open["x"], &b.open["x"].legs[0], Satisfied, float64(c.took))
 		assert.Equal(t, c.lost, b.lost > 0, "%+v", c)
@@ -869,7 +870,7 @@
 	assert.NotEqual(t, other, sentTo(r), "further leg")
 	b.Out(to)
 	r.take()
-	b.Arrive("y", replayable, -1, b.now+4000, false)
+	b.Arrive("y", replayable, -1, b.now+4000, 0, false)
 	assert.Equal(t, []string{"dismiss y"}, r.take("send", "dismiss"), "the only ones left are out: told at once")
 }
 
@@ -878,7 +879,7 @@
 	b, r := begin("ab")
 	serve(b, r, 40, 50)
 	r.take()
-	b.Arrive("up", replayable, -1, b.now+4000, true)
+	b.Arrive("up", replayable, -1, b.now+4000, 0, true)
 	to := sentTo(r)
 	assert.Zero(t, b.out+b.known[to].legs)
 	lost, long := b.lost, b.lostLong
@@ -911,7 +912,7 @@
 	for _, spent := range []bool{false, true} {
 		b, r := begin("ab")
 		r.take()
-		b.Arrive("x", singleUse, -1, b.now+4000, true)
+		b.Arrive("x", singleUse, -1, b.now+4000, 0, true)
 		if sentTo(r); spent {
 			b.Spent("x")
 		}
--- a/logic/types.go
+++ b/logic/types.go
@@ -12,6 +12,7 @@
 	TenantID   int // place in Terms.Tenants; anything outside is no tenant
 	LegNo      int // legs of one exchange count from 0
 	TimerID    uint64
+	PeerID     int // a sidecar's number in its fleet
 )
 
 // Effect tells whether an exchange may run again. The zero value is the strictest.
@@ -82,9 +83,12 @@
 type Terms struct {
 	Seed                    uint64
 	Fleet                   int
+	Me                      PeerID // of the Fleet
+	Peers                   bool   // sidecars may write to one another
 	Zone                    ZoneID
 	Products                []Product
 	Tenants                 []float64 // share of each
+	ByWork                  bool      // values are for each unit of work, not for each exchange
 	OverShare               float64   // value of what is beyond a share, as a part
 	MaxLegs                 int
 	SecondCopies, MayCancel bool
@@ -105,6 +109,7 @@
 	Dismiss(x ExchangeID, why Reason, comeBackAfter Millis)
 	Forfeit(x ExchangeID, why Reason)
 	Wake(after Millis, t TimerID)
+	Tell(to PeerID, text []byte) // may be lost; text is the caller's again afterwards
 	Watch()
 	Note(line string)
 }
