--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,11 +63,11 @@
 	failGain                  = 0.05       // of a leg in the share of its product's legs that fail
 	rememberShare, queueShare = 0.8, 0.12  // of the time a group remembers; of the time left that may be queued
 	shareSlack, lostCopies    = 1.1, 0.3   // on a tenant's share; share of lost legs that is everybody's trouble
-	poolSize, poolLeast       = 12, 4      // sidecars that share an endpoint; endpoints that one has at the least
+	poolSize, poolLeast       = 8, 4       // sidecars that share an endpoint; endpoints that one has at the least
 	poolStart                 = 3.0        // a room at first
-	tellLength, tellVersion   = 8, 1       // of a message
-	tellParts                 = 16.0       // of a mean leg's work that it tells
+	tellLength, tellParts     = 9, 4.0     // of a message; steps in which it tells of a mean leg's work
 	costGain                  = 0.005      // of an exchange in the mean hint
+	queueOthers               = 0.25       // of the legs that others have out, those that make room for us
 	calledBy                  = 3.0        // fall times in which who was called back earns its first leg
 	awayFall                  = 300.0      // how the draw of other zones falls with the price of the way
 	listBackoff, listBackMost = 0.05, 0.25 // of ask-within: first and longest wait after a failure,
@@ -80,7 +80,7 @@
 	zone                ZoneID
 	cell                CellID
 	size                float64 // as listed
-	mark                uint32  // its name in messages
+	mark                uint16  // its name in messages
 	kin                 []kin   // with whom a pool shares it
 	work, others        float64 // in legs of mean work: ours, and what they told of
 	readyAt             Millis
@@ -186,13 +186,15 @@
 	me                                                  PeerID
 	others, cost, hints                                 float64 // legs that the pool told of; mean hint
 	text                                                [tellLength]byte
+	theirs                                              exchange // what another sidecar told of
+	theirLeg                                            leg
 	advice                                              Millis // the longest that clients heed; 0 for none
 	askFirst, askMost, cold, fall, beat, slack, lasting Millis
 
 	// The list.
 	endpoints, ready []*endpoint // in the order first heard of
 	known            map[EndpointID]*endpoint
-	marks            map[uint32]*endpoint
+	marks            map[uint16]*endpoint
 	banned           map[EndpointID]bool   // out by hand; it outlasts the entry in the list
 	back             map[EndpointID]Millis // when that ended: it counts as started then
 	odds             []float64             // of the ready ones, in a pick
@@ -222,7 +224,7 @@
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
 		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel,
 		mustAsk: t.MustAsk, byWork: t.ByWork, strange: 1, pool: t.Peers && t.Fleet > 1, me: t.Me,
-		marks: map[uint32]*endpoint{},
+		marks: map[uint16]*endpoint{},
 		cold:  t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
@@ -230,7 +232,7 @@
 	}
 	b.roomLeast, b.rise, b.start = math.Min(roomLeast/b.fleet, 1), roomRise, 1.0
 	if b.pool { // who knows of all legs works with whole rooms, as a single sidecar would
-		b.roomLeast, b.rise, b.start = 1, roomRise*poolSize, poolStart
+		b.roomLeast, b.rise, b.start = 1, roomRise, poolStart
 	}
 	// The list service takes calls in turn and drops those that wait too long: many that ask soon get none.
 	patience := t.AskWithin * Millis(1+listCrowd*(1-math.Min(roomLeast/b.fleet, 1)))
@@ -363,16 +365,16 @@
 // ---- the pool
 
 // markOf is FNV-1a.
-func markOf(id EndpointID) uint32 {
+func markOf(id EndpointID) uint16 {
 	h := uint32(2166136261)
 	for _, c := range []byte(id) {
 		h = (h ^ uint32(c)) * 16777619
 	}
-	return h
+	return uint16(h>>16) ^ uint16(h)
 }
 
 // mix spreads a mark over the pool; every sidecar gets the same from it.
-func mix(mark uint32, n int) uint64 {
+func mix(mark uint16, n int) uint64 {
 	h := (uint64(mark)<<20 + uint64(n) + 1) * 0x9e3779b97f4a7c15
 	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
 	h = (h ^ h>>27) * 0x94d049bb133111eb
@@ -421,16 +423,20 @@
 	}
 }
 
-// tell lets those who share an endpoint know of our legs there. The whole amount is told, so that a lost message
-// misleads only until the next.
-func (b *Balancer) tell(e *endpoint) {
+// tell lets those who share an endpoint know of our legs there, and how one fared. The whole amount is told, so that a
+// lost message misleads only until the next.
+func (b *Balancer) tell(x *exchange, l *leg, o Outcome, took float64) {
 	if !b.pool {
 		return
 	}
+	e := l.to
 	e.turn++
-	work := uint16(math.Min(e.work*tellParts+0.5, 65535))
-	b.text = [tellLength]byte{tellVersion, e.turn, byte(e.mark >> 24), byte(e.mark >> 16), byte(e.mark >> 8), byte(e.mark),
-		byte(work >> 8), byte(work)}
+	if l.lost && o != Satisfied {
+		took = 0 // told when it was noticed
+	}
+	time := uint16(math.Min(took+0.5, math.MaxUint16))
+	b.text = [tellLength]byte{byte(e.mark >> 8), byte(e.mark), e.turn, part(e.work), byte(o), byte(x.product.place),
+		part(l.units), byte(time >> 8), byte(time)}
 	for n, k := range e.kin {
 		if n < poolSize && k.peer != b.me {
 			b.Tell(k.peer, b.text[:])
@@ -438,27 +444,35 @@
 	}
 }
 
+func part(work float64) byte { return byte(math.Min(work*tellParts+0.5, math.MaxUint8)) }
+
 // Told takes what another sidecar wrote. What is malformed, from nobody or overtaken by a later one changes nothing.
 func (b *Balancer) Told(from PeerID, text []byte) {
-	if !b.pool || len(text) != tellLength || text[0] != tellVersion || from < 0 || float64(from) >= b.fleet {
+	if !b.pool || len(text) != tellLength || from < 0 || float64(from) >= b.fleet {
 		return
 	}
-	e := b.marks[uint32(text[2])<<24|uint32(text[3])<<16|uint32(text[4])<<8|uint32(text[5])]
+	e := b.marks[uint16(text[0])<<8|uint16(text[1])]
 	if e == nil || len(e.kin) == 0 {
 		return
 	}
 	n := e.share(from)
 	if n < 0 && len(e.kin) < 2*poolSize { // one who filled up
 		n = len(e.kin)
-		e.kin = append(e.kin, kin{peer: from, turn: text[1] - 1})
+		e.kin = append(e.kin, kin{peer: from, turn: text[2] - 1})
 	}
 	if n < 0 {
 		return
 	}
-	if k := &e.kin[n]; int8(text[1]-k.turn) > 0 || b.now-k.at > b.lasting {
-		work := float64(uint16(text[6])<<8|uint16(text[7])) / tellParts
+	if k := &e.kin[n]; int8(text[2]-k.turn) > 0 || b.now-k.at > b.lasting {
+		work := float64(text[3]) / tellParts
 		e.others += work - k.work
-		k.turn, k.work, k.at = text[1], work, b.now
+		k.turn, k.work, k.at = text[2], work, b.now
+		if int(text[5]) < len(b.products) && text[4] <= byte(NotSent) {
+			took := float64(uint16(text[7])<<8 | uint16(text[8]))
+			b.theirs.product = &b.products[text[5]]
+			b.theirLeg = leg{to: e, sent: b.now - Millis(took), units: float64(text[6]) / tellParts}
+			b.account(&b.theirs, &b.theirLeg, Outcome(text[4]), took)
+		}
 		if len(b.queue) > 0 {
 			b.drain()
 		}
@@ -538,7 +552,6 @@
 		if l.to.work += float64(step) * l.units; l.to.legs == 0 {
 			l.to.work = 0
 		}
-		b.tell(l.to)
 	}
 }
 
@@ -617,6 +630,7 @@
 	if !x.coming {
 		b.hush(&x.legs[len(x.legs)-1], false)
 	}
+	b.tell(x, &x.legs[len(x.legs)-1], Unclear, 0)
 	b.Send(x.id, e.id, patience)
 	if b.copies && len(x.legs) == 1 && b.samples >= copyFloor && b.timer < x.horizon-b.now {
 		b.wakeFor(x, b.timer, copyDue)
@@ -649,6 +663,7 @@
 		l := &x.legs[n]
 		l.streams = true
 		b.hush(l, true)
+		b.tell(x, l, Satisfied, float64(b.now-l.sent))
 		b.account(x, l, Satisfied, float64(b.now-l.sent))
 		b.cancelOthers(x, n)
 		x.next(b, x, result{what: streamBegan})
@@ -673,9 +688,11 @@
 	l.ended, l.neverRan = true, o == Full || o == NoConnection || o == NotSent
 	x.out--
 	b.hush(l, true)
-	if !l.streams || o != Satisfied && o != Cancelled {
-		b.account(x, l, o, float64(took))
+	if l.streams && (o == Satisfied || o == Cancelled) {
+		o = Unclear
 	}
+	b.tell(x, l, o, float64(took))
+	b.account(x, l, o, float64(took))
 	x.next(b, x, result{what: legEnded, outcome: o, closed: closed})
 	b.drain()
 }
@@ -928,7 +945,7 @@
 	b.wakeFor(x, max(min(x.horizon-b.now-Millis(x.product.usual), (x.horizon-b.now)/2), 1), waitOver)
 	for len(b.queue) > 0 {
 		least := slices.MinFunc(b.queue, b.byRank)
-		wait := float64(len(b.queue)) * b.usual / math.Max(float64(b.out), 1)
+		wait := float64(len(b.queue)) * b.usual / math.Max(float64(b.out)+b.others*queueOthers, 1)
 		if wait <= queueShare*float64(least.horizon-b.now) {
 			break
 		}
@@ -1140,7 +1157,10 @@
 	for _, x := range b.places {
 		for n := range x.legs {
 			if l := &x.legs[n]; !l.ended && !l.lost && !l.quiet {
-				b.weigh(x, l, Unclear, float64(b.now-l.sent))
+				took := float64(b.now - l.sent)
+				if b.weigh(x, l, Unclear, took); l.lost {
+					b.tell(x, &leg{to: l.to, units: l.units}, Unclear, took)
+				}
 			}
 		}
 	}
