--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,7 +64,8 @@
 	rememberShare, queueShare = 0.8, 0.12  // of the time a group remembers; of the time left that may be queued
 	shareSlack, lostCopies    = 1.1, 0.3   // on a tenant's share; share of lost legs that is everybody's trouble
 	poolSize, poolLeast       = 8, 4       // sidecars that share an endpoint; endpoints that one has at the least
-	poolStart                 = 3.0        // a room at first
+	paceGain                  = 0.05       // of a leg in the pace of its endpoint
+	fitShare, fitRank         = 0.6, 0.5   // of the time left that a leg may take; how the less worthy are held back
 	tellLength, tellParts     = 9, 4.0     // of a message; steps in which it tells of a mean leg's work
 	costGain                  = 0.005      // of an exchange in the mean hint
 	queueOthers               = 0.25       // of the legs that others have out, those that make room for us
@@ -99,6 +100,7 @@
 	good, bad    float64 // fading counts of outcomes
 	doubted      bool
 	tokens       float64 // cold budget, in exchanges of mean work
+	took, did    float64 // fading sums of times and of work ahead: their ratio is its pace
 	fine, lost   Millis  // last answer in time, last leg that was lost
 	of           []streak
 }
@@ -131,7 +133,7 @@
 	to                          *endpoint
 	sent                        Millis
 	ended, neverRan, late, lost bool
-	units                       float64 // its work, in mean legs
+	units, ahead                float64 // its work, in mean legs; with what was there when it was sent
 	quiet, streams              bool    // quiet: no work for its endpoint now, in transfer only
 }
 
@@ -180,7 +182,7 @@
 	unknown                                             product
 	tenants, admitted                                   []float64 // share of each; fading counts
 	overShare, fleet, coldFrom, awayOdds                float64
-	coldRate, roomLeast, fade, rise, start              float64 // coldRate: legs over capacity
+	coldRate, roomLeast, fade                           float64 // coldRate: legs over capacity
 	maxLegs                                             int
 	copies, cancels, mustAsk, byWork, pool              bool
 	me                                                  PeerID
@@ -230,9 +232,9 @@
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
 		retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice,
 	}
-	b.roomLeast, b.rise, b.start = math.Min(roomLeast/b.fleet, 1), roomRise, 1.0
+	b.roomLeast = math.Min(roomLeast/b.fleet, 1)
 	if b.pool { // who knows of all legs works with whole rooms, as a single sidecar would
-		b.roomLeast, b.rise, b.start = 1, roomRise, poolStart
+		b.roomLeast = 1
 	}
 	// The list service takes calls in turn and drops those that wait too long: many that ask soon get none.
 	patience := t.AskWithin * Millis(1+listCrowd*(1-math.Min(roomLeast/b.fleet, 1)))
@@ -321,7 +323,8 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.seen = seen{weight: weightMost, room: math.Min(b.roomLeast*(1+b.roomLeast), 1) * b.start}
+	e.seen = seen{weight: weightMost, room: math.Min(b.roomLeast*(1+b.roomLeast), 1)}
+	e.took, e.did = b.usual, 1
 	e.of = make([]streak, len(b.products)+1)
 	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
 	if n := float64(len(b.ready)); n > 0 {
@@ -436,7 +439,7 @@
 	}
 	time := uint16(math.Min(took+0.5, math.MaxUint16))
 	b.text = [tellLength]byte{byte(e.mark >> 8), byte(e.mark), e.turn, part(e.work), byte(o), byte(x.product.place),
-		part(l.units), byte(time >> 8), byte(time)}
+		part(l.ahead), byte(time >> 8), byte(time)}
 	for n, k := range e.kin {
 		if n < poolSize && k.peer != b.me {
 			b.Tell(k.peer, b.text[:])
@@ -470,7 +473,7 @@
 		if int(text[5]) < len(b.products) && text[4] <= byte(NotSent) {
 			took := float64(uint16(text[7])<<8 | uint16(text[8]))
 			b.theirs.product = &b.products[text[5]]
-			b.theirLeg = leg{to: e, sent: b.now - Millis(took), units: float64(text[6]) / tellParts}
+			b.theirLeg = leg{to: e, sent: b.now - Millis(took), ahead: float64(text[6]) / tellParts}
 			b.account(&b.theirs, &b.theirLeg, Outcome(text[4]), took)
 		}
 		if len(b.queue) > 0 {
@@ -627,10 +630,12 @@
 	x.legs = append(x.legs, leg{to: e, sent: b.now, units: x.units, quiet: true})
 	x.out, b.sent = x.out+1, b.sent+1
 	x.next = stepRunning
+	l := &x.legs[len(x.legs)-1]
 	if !x.coming {
-		b.hush(&x.legs[len(x.legs)-1], false)
+		b.hush(l, false)
 	}
-	b.tell(x, &x.legs[len(x.legs)-1], Unclear, 0)
+	l.ahead = e.held()
+	b.tell(x, l, Unclear, 0)
 	b.Send(x.id, e.id, patience)
 	if b.copies && len(x.legs) == 1 && b.samples >= copyFloor && b.timer < x.horizon-b.now {
 		b.wakeFor(x, b.timer, copyDue)
@@ -832,18 +837,22 @@
 func (b *Balancer) pick(x *exchange) *endpoint {
 	total := 0.0
 	b.rooms, b.others = 0, 0
+	fits := b.fits(x)
 	for i, e := range b.ready {
 		part := b.capacityNow(e)
 		b.rooms += e.room * part // a cold server's room is not there yet
 		b.others += e.others
 		b.odds[i] = 0
-		if held := e.held(); held > 0 && held > e.room-b.chance() || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
+		if held := e.held(); held > 0 && (b.pool && b.time(x, e) > fits || !b.pool && held > e.room-b.chance()) || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
 			continue
 		}
 		if e.called {
 			return e // its first leg since it is back: a light sidecar would not draw it for long
 		}
 		odds := e.weight * e.size * part
+		if b.pool {
+			odds *= b.usual * e.did / e.took
+		}
 		if e.zone != b.zone {
 			odds *= b.awayOdds
 		}
@@ -864,14 +873,14 @@
 	// A large fleet's many small rooms must not add up to a crowd. Where none shows, a heavy sidecar needs more
 	// than its part from the start.
 	calm := math.Max(1-roomCalm*(b.lost+b.lostLong), 0)
-	if total <= 0 || float64(b.out+1)+b.others > math.Max(b.rooms*roomOver, legsFree)*(1+roomMore*calm) {
+	if total <= 0 || !b.pool && float64(b.out+1)+b.others > math.Max(b.rooms*roomOver, legsFree)*(1+roomMore*calm) {
 		return nil
 	}
 	one := b.draw(total)
 	total -= b.odds[one]
 	b.odds[one] = 0
 	if total > 1e-9 {
-		if two := b.draw(total); b.load(b.ready[two]) < b.load(b.ready[one]) {
+		if two := b.draw(total); b.load(x, b.ready[two]) < b.load(x, b.ready[one]) {
 			one = two
 		}
 	}
@@ -896,9 +905,22 @@
 	return last
 }
 
-// load is the design's count of legs in flight.
-func (b *Balancer) load(e *endpoint) float64 {
+// time is what an exchange would take at an endpoint behind all that a pool knows to be there.
+func (b *Balancer) time(x *exchange, e *endpoint) float64 {
+	return (e.held() + x.units) * e.took / e.did
+}
+
+// fits is the time in which it is worth sending; the less worthy leave room for the others.
+func (b *Balancer) fits(x *exchange) float64 {
+	return fitShare * float64(x.horizon-b.now) * math.Min(math.Pow(b.rank(x)/b.usualRank, fitRank), 1)
+}
+
+// load is the design's count of legs in flight; in a pool, where all are known, by the time that they take there.
+func (b *Balancer) load(x *exchange, e *endpoint) float64 {
 	l := e.held() + 1
+	if b.pool {
+		l = b.time(x, e)
+	}
 	if e.zone != b.zone {
 		l /= math.Sqrt(b.awayOdds)
 	}
@@ -993,6 +1015,10 @@
 func (b *Balancer) account(x *exchange, l *leg, o Outcome, took float64) {
 	e := l.to
 	b.weigh(x, l, o, took)
+	if took > 0 && (o == Satisfied || o == TimedOut) { // through the origin: the more there was ahead the more it tells
+		e.took += paceGain * (took*l.ahead - e.took)
+		e.did += paceGain * (l.ahead*l.ahead - e.did)
+	}
 	if s := &e.of[x.product.place]; o == Satisfied {
 		*s = streak{}
 	} else if o >= Errored && !l.neverRan && (o != Cancelled || l.lost) && l.sent >= s.ended {
@@ -1050,6 +1076,9 @@
 			l.to.fine = b.now
 		}
 	}
+	if b.pool {
+		return
+	}
 	late := o == Full || took > math.Min(math.Max(lateShare*expected, lateBest*best), lateLimit*expected)
 	if !l.late && (late || o == Satisfied) {
 		l.late = late
@@ -1063,7 +1092,7 @@
 	case late && l.sent >= e.braked:
 		e.room, e.braked = math.Max(math.Min(e.room, e.held()+1)*roomFall, b.roomLeast), b.now
 	case !late && e.held()+1 > e.room/2 && float64(b.out+1)+b.others > b.rooms*roomUse:
-		e.room += b.rise * math.Max(e.room, 1)
+		e.room += roomRise * math.Max(e.room, 1)
 	}
 }
 
@@ -1159,7 +1188,7 @@
 			if l := &x.legs[n]; !l.ended && !l.lost && !l.quiet {
 				took := float64(b.now - l.sent)
 				if b.weigh(x, l, Unclear, took); l.lost {
-					b.tell(x, &leg{to: l.to, units: l.units}, Unclear, took)
+					b.tell(x, &leg{to: l.to, ahead: l.ahead}, Unclear, took)
 				}
 			}
 		}
