--- a/logic/logic.go
+++ b/logic/logic.go
@@ -65,7 +65,7 @@
 	shareSlack, lostCopies    = 1.1, 0.3   // on a tenant's share; share of lost legs that is everybody's trouble
 	poolSize, poolLeast       = 8, 4       // sidecars that share an endpoint; endpoints that one has at the least
 	paceGain                  = 0.05       // of a leg in the pace of its endpoint
-	fitShare, fitRank         = 0.6, 0.5   // of the time left that a leg may take; how the less worthy are held back
+	fitShare, fitRank         = 0.45, 0.5  // of the time left that a leg may take; how the less worthy are held back
 	tellLength, tellParts     = 9, 4.0     // of a message; steps in which it tells of a mean leg's work
 	costGain                  = 0.005      // of an exchange in the mean hint
 	queueOthers               = 0.25       // of the legs that others have out, those that make room for us
