--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,9 +64,11 @@
 	rememberShare, queueShare = 0.8, 0.12  // of the time a group remembers; of the time left that may be queued
 	shareSlack, lostCopies    = 1.1, 0.3   // on a tenant's share; share of lost legs that is everybody's trouble
 	poolSize, poolLeast       = 8, 4       // sidecars that share an endpoint; endpoints that one has at the least
+	fitMost                   = 5.0        // and in times that a leg takes alone, so that endpoints don't choke
+	fleetGrowth               = 16.0       // times the fleet that a start told of, as far as messages are believed
 	paceGain                  = 0.05       // of a leg in the pace of its endpoint
 	fitShare, fitRank         = 0.45, 0.5  // of the time left that a leg may take; how the less worthy are held back
-	tellLength, tellParts     = 9, 4.0     // of a message; steps in which it tells of a mean leg's work
+	tellLength, tellParts     = 11, 4.0    // of a message; steps in which it tells of a mean leg's work
 	costGain                  = 0.005      // of an exchange in the mean hint
 	queueOthers               = 0.25       // of the legs that others have out, those that make room for us
 	calledBy                  = 3.0        // fall times in which who was called back earns its first leg
@@ -186,7 +188,7 @@
 	maxLegs                                             int
 	copies, cancels, mustAsk, byWork, pool              bool
 	me                                                  PeerID
-	others, cost, hints                                 float64 // legs that the pool told of; mean hint
+	others, cost, hints, fleetMost, alone, capacity     float64 // legs that the pool told of; mean hint
 	text                                                [tellLength]byte
 	theirs                                              exchange // what another sidecar told of
 	theirLeg                                            leg
@@ -232,7 +234,7 @@
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
 		retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice,
 	}
-	b.roomLeast = math.Min(roomLeast/b.fleet, 1)
+	b.roomLeast, b.fleetMost = math.Min(roomLeast/b.fleet, 1), b.fleet*fleetGrowth
 	if b.pool { // who knows of all legs works with whole rooms, as a single sidecar would
 		b.roomLeast = 1
 	}
@@ -253,6 +255,7 @@
 	b.unknown = product{Product: Product{Value: 1, Overdue: 1, Expected: longest}, usualAt: now,
 		place: len(t.Products), usual: float64(longest) * usualAtStart}
 	b.beat, b.usual, b.lasting = shortest*beatShare, float64(shortest)*usualAtStart, longest
+	b.alone, b.capacity = b.usual, 1/b.usual
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
 	b.Wake(b.beat, 0)
 	if b.mustAsk && t.Knows && b.fleet > roomLeast {
@@ -384,13 +387,24 @@
 	return h ^ h>>31
 }
 
+// jump is Lamping and Veach's consistent hash: a fleet that grows moves few.
+func (b *Balancer) jump(h uint64) PeerID {
+	at, next := 0.0, 0.0
+	for next < b.fleet {
+		at = next
+		h = h*2862933555777941757 + 1
+		next = math.Floor((at + 1) * (1 << 31) / float64(h>>33+1))
+	}
+	return PeerID(at)
+}
+
 // mine: a pool shares an endpoint among few, who tell each other of their legs there and keep connections to it.
 func (b *Balancer) mine(e *endpoint) bool {
 	if !b.pool {
 		return true
 	}
 	for n := 0; len(e.kin) < poolSize && n < 2*poolSize; n++ {
-		if peer := PeerID(mix(e.mark, n) % uint64(b.fleet)); e.share(peer) < 0 {
+		if peer := b.jump(mix(e.mark, n)); e.share(peer) < 0 {
 			e.kin = append(e.kin, kin{peer: peer})
 		}
 	}
@@ -439,7 +453,7 @@
 	}
 	time := uint16(math.Min(took+0.5, math.MaxUint16))
 	b.text = [tellLength]byte{byte(e.mark >> 8), byte(e.mark), e.turn, part(e.work), byte(o), byte(x.product.place),
-		part(l.ahead), byte(time >> 8), byte(time)}
+		part(l.ahead), byte(time >> 8), byte(time), part(b.effort(x)), byte(x.tenant + 1)}
 	for n, k := range e.kin {
 		if n < poolSize && k.peer != b.me {
 			b.Tell(k.peer, b.text[:])
@@ -451,9 +465,16 @@
 
 // Told takes what another sidecar wrote. What is malformed, from nobody or overtaken by a later one changes nothing.
 func (b *Balancer) Told(from PeerID, text []byte) {
-	if !b.pool || len(text) != tellLength || from < 0 || float64(from) >= b.fleet {
+	if !b.pool || len(text) != tellLength || from < 0 || float64(from) >= b.fleetMost {
 		return
 	}
+	if float64(from) >= b.fleet { // it has grown since we were started
+		b.fleet = float64(from + 1)
+		for _, e := range b.endpoints {
+			e.kin, e.others = nil, 0
+		}
+		b.gather()
+	}
 	e := b.marks[uint16(text[0])<<8|uint16(text[1])]
 	if e == nil || len(e.kin) == 0 {
 		return
@@ -472,6 +493,10 @@
 		k.turn, k.work, k.at = text[2], work, b.now
 		if int(text[5]) < len(b.products) && text[4] <= byte(NotSent) {
 			took := float64(uint16(text[7])<<8 | uint16(text[8]))
+			if text[4] == byte(Unclear) && took == 0 { // one has begun
+				e.tokens -= float64(text[9]) / tellParts
+				b.counts(TenantID(text[10]) - 1)
+			}
 			b.theirs.product = &b.products[text[5]]
 			b.theirLeg = leg{to: e, sent: b.now - Millis(took), ahead: float64(text[6]) / tellParts}
 			b.account(&b.theirs, &b.theirLeg, Outcome(text[4]), took)
@@ -621,9 +646,8 @@
 	if s := &e.of[x.product.place]; s.length >= 2 {
 		s.until = max(s.until, b.now+b.lasting) // one leg tries, the others wait for what becomes of it
 	}
-	if len(x.legs) == 0 && x.tenant >= 0 && int(x.tenant) < len(b.admitted) {
-		b.admitted[x.tenant]++
-		b.admittedAll++
+	if len(x.legs) == 0 {
+		b.counts(x.tenant)
 	}
 	// A leg gets all the time left: cutting it for a further leg wastes more work than it saves.
 	patience := max(x.horizon-b.now-b.slack, b.slack/2, 1)
@@ -643,6 +667,14 @@
 	return true
 }
 
+// counts books an exchange with its tenant.
+func (b *Balancer) counts(t TenantID) {
+	if t >= 0 && int(t) < len(b.admitted) {
+		b.admitted[t]++
+		b.admittedAll++
+	}
+}
+
 func (b *Balancer) wakeFor(x *exchange, after Millis, w what) {
 	b.Wake(after, TimerID(x.place)<<40|TimerID(x.turn)<<8|TimerID(w)<<4|2)
 }
@@ -912,7 +944,8 @@
 
 // fits is the time in which it is worth sending; the less worthy leave room for the others.
 func (b *Balancer) fits(x *exchange) float64 {
-	return fitShare * float64(x.horizon-b.now) * math.Min(math.Pow(b.rank(x)/b.usualRank, fitRank), 1)
+	most := math.Min(fitShare*float64(x.horizon-b.now), fitMost*b.alone)
+	return most * math.Min(math.Pow(b.rank(x)/b.usualRank, fitRank), 1)
 }
 
 // load is the design's count of legs in flight; in a pool, where all are known, by the time that they take there.
@@ -1018,6 +1051,9 @@
 	if took > 0 && (o == Satisfied || o == TimedOut) { // through the origin: the more there was ahead the more it tells
 		e.took += paceGain * (took*l.ahead - e.took)
 		e.did += paceGain * (l.ahead*l.ahead - e.did)
+		if l.ahead > 0.5 && l.ahead <= 1 {
+			b.alone += paceGain * (took/l.ahead - b.alone)
+		}
 	}
 	if s := &e.of[x.product.place]; o == Satisfied {
 		*s = streak{}
@@ -1123,8 +1159,11 @@
 
 // count: if most are doubtful none is left out. Strange ones are drawn by how many familiar ones we lack.
 func (b *Balancer) count() {
-	doubts, familiar := 0, 0.0
+	doubts, familiar, did, size := 0, 0.0, 0.0, 0.0
 	for _, e := range b.ready {
+		if !b.isCold(e) {
+			did, size = did+e.did/e.took, size+e.size
+		}
 		if b.familiar(e) {
 			familiar++
 		}
@@ -1132,6 +1171,9 @@
 			doubts++
 		}
 	}
+	if size > 0 {
+		b.capacity = did / size
+	}
 	b.mostDoubt, b.strange = doubts*2 > len(b.ready), 1
 	wanted := math.Max(b.rate*float64(b.lasting)*familiarSpan, 1)
 	share := 1 - (1-strangeShare)*math.Min(familiar/wanted, 1)
@@ -1170,6 +1212,9 @@
 		if b.isCold(e) {
 			own := b.rate * e.size / math.Max(b.sizes, 0.01)
 			allowed := b.coldRate * b.capacityNow(e) * math.Max(own, 0.5/b.usual/b.fleet)
+			if b.pool { // the budget is that of all who share it
+				allowed = b.coldRate * b.capacityNow(e) * e.size * b.capacity
+			}
 			if e.called && b.fall > 0 {
 				allowed = math.Max(allowed, 1/float64(calledBy*b.fall))
 			}
