--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,7 +64,8 @@
 	rememberShare, queueShare = 0.8, 0.12  // of the time a group remembers; of the time left that may be queued
 	shareSlack, lostCopies    = 1.1, 0.3   // on a tenant's share; share of lost legs that is everybody's trouble
 	poolSize, poolLeast       = 8, 4       // sidecars that share an endpoint; endpoints that one has at the least
-	fitMost                   = 5.0        // and in times that a leg takes alone, so that endpoints don't choke
+	fitMost                   = 4.0        // and in times that a leg takes alone, so that endpoints don't choke
+	aloneRise                 = 0.1        // of that, upwards
 	fleetGrowth               = 16.0       // times the fleet that a start told of, as far as messages are believed
 	paceGain                  = 0.05       // of a leg in the pace of its endpoint
 	fitShare, fitRank         = 0.45, 0.5  // of the time left that a leg may take; how the less worthy are held back
@@ -1052,7 +1053,8 @@
 		e.took += paceGain * (took*l.ahead - e.took)
 		e.did += paceGain * (l.ahead*l.ahead - e.did)
 		if l.ahead > 0.5 && l.ahead <= 1 {
-			b.alone += paceGain * (took/l.ahead - b.alone)
+			off := took/l.ahead - b.alone // all may be slow: what they need at their best rises slowly
+			b.alone += paceGain * math.Min(off, off*aloneRise)
 		}
 	}
 	if s := &e.of[x.product.place]; o == Satisfied {
