--- a/logic/logic.go
+++ b/logic/logic.go
@@ -12,7 +12,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -66,10 +65,8 @@
 	poolSize, poolLeast       = 8, 4       // sidecars that share an endpoint; endpoints that one has at the least
 	fitMost                   = 4.0        // and in times that a leg takes alone, so that endpoints don't choke
 	aloneRise                 = 0.1        // of that, upwards
-	fleetGrowth               = 16.0       // times the fleet that a start told of, as far as messages are believed
 	paceGain                  = 0.05       // of a leg in the pace of its endpoint
 	fitShare, fitRank         = 0.45, 0.5  // of the time left that a leg may take; how the less worthy are held back
-	tellLength, tellParts     = 11, 4.0    // of a message; steps in which it tells of a mean leg's work
 	costGain                  = 0.005      // of an exchange in the mean hint
 	queueOthers               = 0.25       // of the legs that others have out, those that make room for us
 	calledBy                  = 3.0        // fall times in which who was called back earns its first leg
@@ -189,8 +186,8 @@
 	maxLegs                                             int
 	copies, cancels, mustAsk, byWork, pool              bool
 	me                                                  PeerID
-	others, cost, hints, fleetMost, alone, capacity     float64 // legs that the pool told of; mean hint
-	text                                                [tellLength]byte
+	others, cost, hints, alone, capacity                float64 // legs that the pool told of; mean hint
+	word                                                word
 	theirs                                              exchange // what another sidecar told of
 	theirLeg                                            leg
 	advice                                              Millis // the longest that clients heed; 0 for none
@@ -235,7 +232,7 @@
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
 		retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice,
 	}
-	b.roomLeast, b.fleetMost = math.Min(roomLeast/b.fleet, 1), b.fleet*fleetGrowth
+	b.roomLeast = math.Min(roomLeast/b.fleet, 1)
 	if b.pool { // who knows of all legs works with whole rooms, as a single sidecar would
 		b.roomLeast = 1
 	}
@@ -360,56 +357,37 @@
 func (b *Balancer) gather() {
 	b.ready, b.sizes = b.ready[:0], 0
 	for _, e := range b.endpoints {
-		if e.running = e.up && e.listed && !b.banned[e.id]; e.running && b.mine(e) {
+		if e.running = e.up && e.listed && !b.banned[e.id]; e.running {
 			b.ready = append(b.ready, e)
-			b.sizes += e.size
 		}
 	}
-	b.fill()
+	if b.pool {
+		slices.SortStableFunc(b.ready, func(p, q *endpoint) int { return cmp.Compare(b.far(p), b.far(q)) })
+		few := slices.IndexFunc(b.ready, func(e *endpoint) bool { return b.far(e) > 0 })
+		if few >= 0 {
+			b.ready = b.ready[:min(max(few, poolLeast), len(b.ready))]
+		}
+	}
+	for _, e := range b.ready {
+		b.sizes += e.size
+	}
 	b.odds = slices.Grow(b.odds[:0], len(b.ready))[:len(b.ready)]
 }
 
 // ---- the pool
 
-// markOf is FNV-1a.
-func markOf(id EndpointID) uint16 {
-	h := uint32(2166136261)
-	for _, c := range []byte(id) {
-		h = (h ^ uint32(c)) * 16777619
-	}
-	return uint16(h>>16) ^ uint16(h)
-}
-
-// mix spreads a mark over the pool; every sidecar gets the same from it.
-func mix(mark uint16, n int) uint64 {
-	h := (uint64(mark)<<20 + uint64(n) + 1) * 0x9e3779b97f4a7c15
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return h ^ h>>31
-}
-
-// jump is Lamping and Veach's consistent hash: a fleet that grows moves few.
-func (b *Balancer) jump(h uint64) PeerID {
-	at, next := 0.0, 0.0
-	for next < b.fleet {
-		at = next
-		h = h*2862933555777941757 + 1
-		next = math.Floor((at + 1) * (1 << 31) / float64(h>>33+1))
-	}
-	return PeerID(at)
-}
-
-// mine: a pool shares an endpoint among few, who tell each other of their legs there and keep connections to it.
-func (b *Balancer) mine(e *endpoint) bool {
-	if !b.pool {
-		return true
-	}
+// far is 0 for who is shared by this sidecar: a pool shares an endpoint among few, who keep connections to it and tell
+// each other of their legs there. The others follow in an order of our own, where chance left us few.
+func (b *Balancer) far(e *endpoint) uint64 {
 	for n := 0; len(e.kin) < poolSize && n < 2*poolSize; n++ {
-		if peer := b.jump(mix(e.mark, n)); e.share(peer) < 0 {
+		if peer := jump(mix(e.mark, n), b.fleet); e.share(peer) < 0 {
 			e.kin = append(e.kin, kin{peer: peer})
 		}
 	}
-	return e.share(b.me) >= 0
+	if e.share(b.me) >= 0 {
+		return 0
+	}
+	return mix(e.mark, -2-int(b.me)) | 1
 }
 
 // share is a sidecar's place among those who share an endpoint, -1 for none.
@@ -417,95 +395,50 @@
 	return slices.IndexFunc(e.kin, func(k kin) bool { return k.peer == p })
 }
 
-// fill takes in further ones, by a draw that stays the same, where chance left us few or trouble did.
-func (b *Balancer) fill() {
-	for b.pool {
-		fit := 0
-		var next *endpoint
-		for _, e := range b.ready {
-			if !e.doubted {
-				fit++
-			}
-		}
-		for _, e := range b.endpoints {
-			if e.running && !slices.Contains(b.ready, e) &&
-				(next == nil || mix(e.mark, -2-int(b.me)) < mix(next.mark, -2-int(b.me))) {
-				next = e
-			}
-		}
-		if fit >= poolLeast || next == nil {
-			return
-		}
-		b.ready = append(b.ready, next)
-		b.sizes += next.size
-	}
-}
-
-// tell lets those who share an endpoint know of our legs there, and how one fared. The whole amount is told, so that a
-// lost message misleads only until the next.
+// tell lets those who share an endpoint know of all our legs there, so that a lost message misleads only until the
+// next, and how one fared.
 func (b *Balancer) tell(x *exchange, l *leg, o Outcome, took float64) {
 	if !b.pool {
 		return
 	}
-	e := l.to
-	e.turn++
 	if l.lost && o != Satisfied {
 		took = 0 // told when it was noticed
 	}
-	time := uint16(math.Min(took+0.5, math.MaxUint16))
-	b.text = [tellLength]byte{byte(e.mark >> 8), byte(e.mark), e.turn, part(e.work), byte(o), byte(x.product.place),
-		part(l.ahead), byte(time >> 8), byte(time), part(b.effort(x)), byte(x.tenant + 1)}
-	for n, k := range e.kin {
+	l.to.turn++
+	b.word = wordOf(l.to, x, l, o, took, b.effort(x))
+	for n, k := range l.to.kin {
 		if n < poolSize && k.peer != b.me {
-			b.Tell(k.peer, b.text[:])
+			b.Tell(k.peer, b.word[:])
 		}
 	}
 }
 
-func part(work float64) byte { return byte(math.Min(work*tellParts+0.5, math.MaxUint8)) }
-
-// Told takes what another sidecar wrote. What is malformed, from nobody or overtaken by a later one changes nothing.
+// Told takes what another sidecar wrote. What is malformed, of no use or overtaken by a later one changes nothing.
 func (b *Balancer) Told(from PeerID, text []byte) {
-	if !b.pool || len(text) != tellLength || from < 0 || float64(from) >= b.fleetMost {
-		return
-	}
-	if float64(from) >= b.fleet { // it has grown since we were started
-		b.fleet = float64(from + 1)
-		for _, e := range b.endpoints {
-			e.kin, e.others = nil, 0
-		}
-		b.gather()
-	}
-	e := b.marks[uint16(text[0])<<8|uint16(text[1])]
-	if e == nil || len(e.kin) == 0 {
+	w, ok := read(text)
+	e := b.marks[w.mark()]
+	if !b.pool || !ok || e == nil || from < 0 || from == b.me {
 		return
 	}
 	n := e.share(from)
-	if n < 0 && len(e.kin) < 2*poolSize { // one who filled up
-		n = len(e.kin)
-		e.kin = append(e.kin, kin{peer: from, turn: text[2] - 1})
+	if n < 0 && len(e.kin) < 2*poolSize { // one to whom chance left few
+		n, e.kin = len(e.kin), append(e.kin, kin{peer: from, turn: w[2] - 1})
 	}
-	if n < 0 {
+	if n < 0 || !w.after(e.kin[n].turn) && b.now-e.kin[n].at <= b.lasting {
 		return
 	}
-	if k := &e.kin[n]; int8(text[2]-k.turn) > 0 || b.now-k.at > b.lasting {
-		work := float64(text[3]) / tellParts
-		e.others += work - k.work
-		k.turn, k.work, k.at = text[2], work, b.now
-		if int(text[5]) < len(b.products) && text[4] <= byte(NotSent) {
-			took := float64(uint16(text[7])<<8 | uint16(text[8]))
-			if text[4] == byte(Unclear) && took == 0 { // one has begun
-				e.tokens -= float64(text[9]) / tellParts
-				b.counts(TenantID(text[10]) - 1)
-			}
-			b.theirs.product = &b.products[text[5]]
-			b.theirLeg = leg{to: e, sent: b.now - Millis(took), ahead: float64(text[6]) / tellParts}
-			b.account(&b.theirs, &b.theirLeg, Outcome(text[4]), took)
-		}
-		if len(b.queue) > 0 {
-			b.drain()
+	e.others += w.work() - e.kin[n].work
+	e.kin[n] = kin{peer: from, turn: w[2], work: w.work(), at: b.now}
+	if w.product() < len(b.products) {
+		o, took := w.fared()
+		if t, effort := w.begun(); o == Unclear && took == 0 {
+			e.tokens -= effort
+			b.counts(t)
 		}
+		b.theirs.product, b.theirLeg = &b.products[w.product()], leg{to: e, sent: b.now - took, ahead: w.ahead()}
+		b.account(&b.theirs, &b.theirLeg, o, float64(took))
 	}
+	b.drain()
 }
 
 // ListFailed asks again, later each time but well inside the time after which silence counts as told.
@@ -1141,24 +1074,6 @@
 	}
 }
 
-// report tells on-call staff of states that last; what comes and goes in a moment is no news.
-func (b *Balancer) report() {
-	for _, e := range b.ready {
-		if e.doubted != e.told && b.now-e.changed > b.lasting {
-			e.told = e.doubted
-			b.Note(fmt.Sprintf("%s doubtful %t: %.0f of %.0f bad", e.id, e.told, e.bad, e.good+e.bad))
-		}
-	}
-	b.crowding -= float64(b.beat/b.lasting) * b.crowding
-	if len(b.queue) > 0 || b.overload() > b.chance() {
-		b.crowding += float64(b.beat / b.lasting)
-	}
-	if crowded := b.crowding > 0.5; crowded != b.crowded && math.Abs(b.crowding-0.5) > 0.3 {
-		b.crowded = crowded
-		b.Note(fmt.Sprintf("overload %t: %d legs out, %.0f%% late", crowded, b.out, 100*b.lostLong))
-	}
-}
-
 // count: if most are doubtful none is left out. Strange ones are drawn by how many familiar ones we lack.
 func (b *Balancer) count() {
 	doubts, familiar, did, size := 0, 0.0, 0.0, 0.0
--- a/logic/view.go
+++ b/logic/view.go
@@ -1,5 +1,10 @@
 package logic
 
+import (
+	"fmt"
+	"math"
+)
+
 // View is what an instance sees, for staff and logs. Nothing is decided by it.
 type View struct {
 	Ready, Cold, Idle, IdleCold, Doubted, Familiar, Waiting, Legs int
@@ -38,3 +43,21 @@
 	}
 	return n
 }
+
+// report tells on-call staff of states that last; what comes and goes in a moment is no news.
+func (b *Balancer) report() {
+	for _, e := range b.ready {
+		if e.doubted != e.told && b.now-e.changed > b.lasting {
+			e.told = e.doubted
+			b.Note(fmt.Sprintf("%s doubtful %t: %.0f of %.0f bad", e.id, e.told, e.bad, e.good+e.bad))
+		}
+	}
+	b.crowding -= float64(b.beat/b.lasting) * b.crowding
+	if len(b.queue) > 0 || b.overload() > b.chance() {
+		b.crowding += float64(b.beat / b.lasting)
+	}
+	if crowded := b.crowding > 0.5; crowded != b.crowded && math.Abs(b.crowding-0.5) > 0.3 {
+		b.crowded = crowded
+		b.Note(fmt.Sprintf("overload %t: %d legs out, %.0f%% late", crowded, b.out, 100*b.lostLong))
+	}
+}
