--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,13 +1,8 @@
-// Package logic holds every decision of lynxjunction.
-//
-// How to call it: New starts an instance from its Terms. At sets the clock before each event. The
-// list comes as ListStarts (a whole list only), Listed for each entry, ListEnds, or as ListFailed;
-// what staff say as Out, Back; an exchange as Arrive, then Began, Ended for each of its legs, Left,
-// with Spent and Whole between if it is still coming; a due timer as Alarm. All that an instance wants
-// done goes through the Outgoing it was given. Both are declared in types.go.
-//
-// An exchange's place keeps in next the step that awaits its next result. Ids that are not known
-// any more, late timers and late outcomes are harmless: they find no place, or stepOver.
+// Package logic holds every decision of lynxjunction. New starts an instance from its Terms; At sets the
+// clock before each event. The list comes as ListStarts (a whole list only), Listed for each entry, ListEnds,
+// or as ListFailed; what staff say as Out, Back; what other sidecars say as Told; an exchange as Arrive, then
+// Began, Ended for each of its legs, Left, with Spent and Whole if it is still coming; a due timer as Alarm.
+// What is wanted goes through Outgoing. Ids not known any more, late timers and late outcomes are harmless.
 package logic
 
 import (
@@ -21,91 +16,67 @@
 const (
 	weightLeast, weightMost, weightFall, weightRise = 0.05, 1.0, 0.5, 0.1
 
-	copyPercentile            = 0.98
-	copyFloor                 = 20  // samples before the timer is trusted
-	copyRatio                 = 0.1 // copies to exchanges
-	copyWindow                = 10000.0
-	copyRefresh               = 5000.0
-	recentLength, recentStale = 256, 16 // latencies kept for the percentile; new ones until it is anew
-	windowParts               = 40      // steps in which the window slides
+	copyPercentile, copyFloor, copyRatio = 0.98, 20, 0.1       // samples before the timer is trusted
+	copyWindow, copyRefresh, windowParts = 10000.0, 5000.0, 40 // steps in which the window slides
+	recentLength, recentStale            = 256, 16             // latencies kept; new ones until it is anew
 )
 
 // Ours, as ratios to what the terms say or what is seen.
 const (
-	beatShare                 = 0.2      // of the shortest expected time: the pulse of upkeep
-	memoryShare               = 8.0      // of the longest expected time: how long health evidence counts
-	lateShare                 = 0.4      // of the expected time: a leg that takes longer finds a crowd;
-	lateBest, lateLimit       = 1.8, 0.5 // or over so many times its product's best mean, up to this share
-	lostOver                  = 3.0      // the more of them, the more a late answer is still worth: a leg
-	lostLeast, lostMost       = 0.5, 0.9 // that takes longer is lost; of the expected time, least and most
-	lostGain, lostGainLeast   = 0.25, 0.02
-	lostLong                  = 1.0 / 6    // of that gain, for the longer share of lost legs;
-	lostFade, lostLongFade    = 4.0, 16.0  // longest expected times in which both fade by themselves
-	shedAt, shedSpan          = 0.37, 0.25 // lost legs with which dismissals begin, and until all is dismissed
-	shedWeight                = 4.0        // of the longer share, the more the larger it is
-	shutShare                 = 0.25       // of the time between two legs that a dismissal shuts the door
-	rankGain                  = 0.02       // of an exchange in the mean rank
-	familiarShare             = 16.0       // longest expected times that an answer in time is remembered
-	familiarSpan              = 0.5        // of the longest expected time: its legs all find familiar ones
-	strangeShare, badShare    = 0.03, 0.02 // legs to strange endpoints; draw of those lately late among them
-	roomLeast                 = 4.0        // legs of all sidecars together that a room leaves at the least
-	roomOver, legsFree        = 1.3, 3.0   // legs out over all rooms together, but so many at any size
-	roomMore, roomCalm        = 3.0, 4.0   // times more than that while none is lost; how fast this shrinks
-	roomUse                   = 0.33       // of all rooms is in use, or none grows: else they let a burst in
-	roomRise, roomFall        = 0.02, 0.8  // a room's growth at an answer in time; what a late one leaves of it
-	usualAtStart              = 0.25       // of the shortest expected time
-	usualMemory               = 30000.0    // milliseconds over which a product's usual time is averaged
-	doubtAt, trustAt          = 0.25, 0.8  // share of bad outcomes that is doubtful; draw that gives a trial
-	coldMargin                = 0.65       // of the fall multiple that all sidecars together may use
-	retryEarn, retryMost      = 0.15, 12.0 // further legs that an exchange's end earns; held at the most
-	restShare, restMost       = 0.25, 7    // of the longest expected time: a rest, doubled so many times
-	failGain                  = 0.05       // of a leg in the share of its product's legs that fail
-	rememberShare, queueShare = 0.8, 0.12  // of the time a group remembers; of the time left that may be queued
-	shareSlack, lostCopies    = 1.1, 0.3   // on a tenant's share; share of lost legs that is everybody's trouble
-	poolSize, poolLeast       = 8, 4       // sidecars that share an endpoint; endpoints that one has at the least
-	fitMost                   = 4.0        // and in times that a leg takes alone, so that endpoints don't choke
-	aloneRise                 = 0.1        // of that, upwards
-	paceGain                  = 0.05       // of a leg in the pace of its endpoint
-	fitShare, fitRank         = 0.45, 0.5  // of the time left that a leg may take; how the less worthy are held back
-	costGain                  = 0.005      // of an exchange in the mean hint
-	queueOthers               = 0.25       // of the legs that others have out, those that make room for us
-	calledBy                  = 3.0        // fall times in which who was called back earns its first leg
-	awayFall                  = 300.0      // how the draw of other zones falls with the price of the way
-	listBackoff, listBackMost = 0.05, 0.25 // of ask-within: first and longest wait after a failure,
-	listCrowd                 = 3.0        // and how much longer both are in a large fleet
+	beatShare, memoryShare         = 0.2, 8.0        // of the shortest: upkeep; of the longest: evidence counts
+	lateShare, lateBest, lateLimit = 0.4, 1.8, 0.5   // of the expected time, or times the best mean, up to
+	lostOver, lostLeast, lostMost  = 3.0, 0.5, 0.9   // longer by a late answer's worth; of the expected time
+	lostGain, lostGainLeast        = 0.25, 0.02      // of a leg in the share of lost ones,
+	lostLong                       = 1.0 / 6         // of that gain for the longer share;
+	lostFade, lostLongFade         = 4.0, 16.0       // longest expected times in which both fade by themselves
+	shedAt, shedSpan               = 0.37, 0.25      // lost legs from which on, and until all is dismissed
+	shedWeight, shutShare          = 4.0, 0.25       // of the longer share; of the time between legs: door shut
+	rankGain, costGain             = 0.02, 0.005     // of an exchange in the mean rank, in the mean hint
+	familiarShare, familiarSpan    = 16.0, 0.5       // longest expected times: remembered; legs that find them
+	strangeShare, badShare         = 0.03, 0.02      // legs to strange endpoints; draw of those lately late
+	roomLeast, roomOver, legsFree  = 4.0, 1.3, 3.0   // of all sidecars at least; legs over rooms; at any size
+	roomMore, roomCalm             = 3.0, 4.0        // times more than that while none is lost; how it shrinks
+	roomUse, roomRise, roomFall    = 0.33, 0.02, 0.8 // rooms in use, or none grows; its growth; what is left
+	usualAtStart, usualMemory      = 0.25, 30000.0   // of the shortest; milliseconds of a product's usual time
+	doubtAt, trustAt               = 0.25, 0.8       // share of bad outcomes; draw that gives a trial
+	coldMargin, calledBy           = 0.65, 3.0       // of the fall multiple; fall times for the first leg back
+	retryEarn, retryMost           = 0.15, 12.0      // further legs that an exchange's end earns; most held
+	restShare, restMost            = 0.25, 7         // of the longest expected time, doubled so many times
+	failGain, rememberShare        = 0.05, 0.8       // of a leg in its product's share; of a group's memory
+	queueShare, queueOthers        = 0.12, 0.25      // of the time left; of others' legs, which make room too
+	shareSlack, lostCopies         = 1.1, 0.3        // on a tenant's share; lost legs that are all's trouble
+	poolSize, poolLeast            = 8, 4            // sharers of an endpoint; endpoints that one has at least
+	fitShare, fitMost, fitRank     = 0.45, 4.0, 0.5  // of the time left; times of a leg alone; by worth
+	paceGain, aloneRise            = 0.05, 0.1       // of a leg in its endpoint's pace; of that gain, upwards
+	awayFall                       = 300.0           // how the draw of other zones falls with the way's price
+	listBackoff, listBackMost      = 0.05, 0.25      // of ask-within: first and longest wait after a failure,
+	listCrowd                      = 3.0             // and how much longer both are in a large fleet
 )
 
-// endpoint is all that is known of one server.
 type endpoint struct {
 	id                  EndpointID
 	zone                ZoneID
 	cell                CellID
-	size                float64 // as listed
 	mark                uint16  // its name in messages
+	turn                byte    // of our last message
 	kin                 []kin   // with whom a pool shares it
-	work, others        float64 // in legs of mean work: ours, and what they told of
-	readyAt             Millis
-	up, listed, running bool // up: by the list's word; running: and not out by hand
-	told, called        bool // told: staff know that it is doubtful; called: back by hand, no leg since
+	size, work, others  float64 // as listed; legs of mean work: ours, and what others told of
+	readyAt, changed    Millis  // changed: last change of doubt
+	up, listed, running bool    // up: by the list's word; running: and not out by hand
+	told, called        bool    // staff know that it is doubtful; back by hand, no leg since
 	legs                int
-	changed             Millis // last change of doubt
-	turn                byte   // of our last message
 	seen
 }
 
-// seen is what was learned of an endpoint's process.
 type seen struct {
-	weight, room float64 // room: legs it may have
-	braked       Millis  // when room last fell; 0 before
-	good, bad    float64 // fading counts of outcomes
-	doubted      bool
-	tokens       float64 // cold budget, in exchanges of mean work
-	took, did    float64 // fading sums of times and of work ahead: their ratio is its pace
-	fine, lost   Millis  // last answer in time, last leg that was lost
-	of           []streak
+	weight, room       float64 // room: legs it may have
+	braked, fine, lost Millis  // when room last fell; last answer in time; last leg that was lost
+	good, bad, tokens  float64 // fading counts of outcomes; cold budget, in exchanges of mean work
+	took, did          float64 // fading sums of times and of work ahead: their ratio is its pace
+	doubted            bool
+	of                 []streak
 }
 
-// kin is what another sidecar of the pool told of its legs at an endpoint.
 type kin struct {
 	peer PeerID
 	turn byte
@@ -119,125 +90,68 @@
 	ended, until Millis // last counted, and when a leg may try again
 }
 
-// product is a Product with what decisions use.
 type product struct {
 	Product
-	place       int
-	usual, best float64 // mean time of a satisfied leg: of late, and the least so far
-	failing     float64 // share of its legs that fail, wherever they go: no endpoint's fault
-	answers     float64
-	usualAt     Millis
+	place                         int
+	usual, best, failing, answers float64 // mean time, of late and least; failing share
+	usualAt                       Millis
 }
 
-type leg struct {
-	to                          *endpoint
-	sent                        Millis
-	ended, neverRan, late, lost bool
-	units, ahead                float64 // its work, in mean legs; with what was there when it was sent
-	quiet, streams              bool    // quiet: no work for its endpoint now, in transfer only
-}
-
-type what int
-
-const (
-	legEnded what = iota
-	copyDue
-	waitOver
-	clientLeft
-	streamBegan
-)
-
-type result struct {
-	what    what
-	outcome Outcome
-	closed  bool
-}
-
-type step func(b *Balancer, x *exchange, r result)
-
-// exchange is a place of the slab; its turn tells one user of the place from the next.
-type exchange struct {
-	id      ExchangeID
-	place   int
-	turn    uint32
-	next    step
-	product *product
-	tenant  TenantID
-	units   float64 // of work, by its hint
-	horizon Millis  // after it no answer is worth anything
-	legs    []leg
-	out     int
-	coming  bool // its request has not come whole
-	spent   bool // nor can it be sent again: what its leg took was not kept
-}
-
-// Balancer is one instance.
 type Balancer struct {
 	Outgoing
-	now  Millis
-	dice uint64
-	// From the terms.
-	zone                                                ZoneID
-	products                                            []product
-	unknown                                             product
-	tenants, admitted                                   []float64 // share of each; fading counts
-	overShare, fleet, coldFrom, awayOdds                float64
-	coldRate, roomLeast, fade                           float64 // coldRate: legs over capacity
-	maxLegs                                             int
-	copies, cancels, mustAsk, byWork, pool              bool
-	me                                                  PeerID
-	others, cost, hints, alone, capacity                float64 // legs that the pool told of; mean hint
-	word                                                word
-	theirs                                              exchange // what another sidecar told of
-	theirLeg                                            leg
-	advice                                              Millis // the longest that clients heed; 0 for none
-	askFirst, askMost, cold, fall, beat, slack, lasting Millis
-
-	// The list.
-	endpoints, ready []*endpoint // in the order first heard of
+	dice                                                                      uint64
+	zone                                                                      ZoneID
+	me                                                                        PeerID
+	products                                                                  []product
+	unknown                                                                   product
+	tenants, admitted                                                         []float64 // shares; fading counts
+	overShare, fleet, coldFrom, awayOdds, coldRate, roomLeast, fade           float64
+	maxLegs, out                                                              int
+	copies, cancels, mustAsk, byWork, pool                                    bool
+	now, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting Millis
+
+	// The list. banned: out by hand; back: when that ended, for it counts as started then.
+	endpoints, ready []*endpoint
 	known            map[EndpointID]*endpoint
 	marks            map[uint16]*endpoint
-	banned           map[EndpointID]bool   // out by hand; it outlasts the entry in the list
-	back             map[EndpointID]Millis // when that ended: it counts as started then
-	odds             []float64             // of the ready ones, in a pick
-	sizes            float64               // of the ready ones
-	askWait          Millis
+	banned           map[EndpointID]bool
+	back             map[EndpointID]Millis
+	odds             []float64 // of the ready ones, in a pick
 
-	// Exchanges in hand.
 	places, free, queue []*exchange
 	open                map[ExchangeID]*exchange
-	out                 int // legs
+	word                word
+	theirs              exchange
+	theirLeg            leg
 
-	// What was learned.
 	recent, sorted                                 [recentLength]float64 // latencies of satisfied legs
 	samples, timerAt, part                         int
 	timer, ratioAt, shutUntil                      Millis
 	window                                         [windowParts]struct{ copies, ended float64 }
 	ratio, retries, usual, sent, rate, admittedAll float64
 	lost, lostLong                                 float64 // shares of lost legs, of late and for longer
-	usualRank, rooms, strange, crowding            float64 // strange: draw of who is not familiar
+	usualRank, rooms, sizes, strange, crowding     float64 // strange: draw of who is not familiar
+	others, cost, hints, alone, capacity           float64 // the pool's legs; mean hint; a leg's time alone
 	mostDoubt, crowded                             bool
 }
 
-// New starts an instance that knows nothing but its terms.
 func New(t Terms, out Outgoing, now Millis) *Balancer {
 	b := &Balancer{
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
 		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel,
 		mustAsk: t.MustAsk, byWork: t.ByWork, strange: 1, pool: t.Peers && t.Fleet > 1, me: t.Me,
-		marks: map[uint16]*endpoint{},
-		cold:  t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
+		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
-		retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice,
+		retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice, marks: map[uint16]*endpoint{},
 	}
 	b.roomLeast = math.Min(roomLeast/b.fleet, 1)
-	if b.pool { // who knows of all legs works with whole rooms, as a single sidecar would
-		b.roomLeast = 1
-	}
 	// The list service takes calls in turn and drops those that wait too long: many that ask soon get none.
-	patience := t.AskWithin * Millis(1+listCrowd*(1-math.Min(roomLeast/b.fleet, 1)))
+	patience := t.AskWithin * Millis(1+listCrowd*(1-b.roomLeast))
+	if b.pool {
+		b.roomLeast = 1 // who knows of all legs sheds by what it knows, as a single sidecar would
+	}
 	b.askFirst, b.askMost, b.askWait = patience*listBackoff, patience*listBackMost, patience*listBackoff
 	shortest, longest := Millis(math.Inf(1)), Millis(0)
 	for n, p := range t.Products {
@@ -266,37 +180,23 @@
 
 func (b *Balancer) At(now Millis) { b.now = now }
 
-// chance is a multiply-with-carry generator's next number, from 0 to 1 exclusive.
-func (b *Balancer) chance() float64 {
-	b.dice = (b.dice&0xffffffff)*4294957665 + b.dice>>32
-	return (float64(uint32(b.dice)) + 0.5) / (1 << 32)
-}
-
-// ---- the list
-
-// ListStarts begins a whole list: what it does not name is gone.
 func (b *Balancer) ListStarts() {
 	for _, e := range b.endpoints {
 		e.listed = false
 	}
 }
 
-// Listed takes one entry. Whatever is not Running gets nothing new from here on.
 func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
 	e := b.known[id]
 	if e == nil {
 		e = &endpoint{id: id, mark: markOf(id)}
-		b.known[id], b.marks[e.mark] = e, e
-		b.endpoints = append(b.endpoints, e)
+		b.known[id], b.marks[e.mark], b.endpoints = e, e, append(b.endpoints, e)
 		b.renew(e)
 	} else if readyAt > e.readyAt {
 		b.renew(e) // a restart: what was known of the old process misleads about the new one
 	}
 	// Back by hand means restarted, whatever older start the list still tells.
-	e.zone, e.cell, e.size, e.readyAt = zone, cell, size, max(readyAt, b.back[id], 0)
-	if size <= 0 {
-		e.size = 1
-	}
+	e.zone, e.cell, e.size, e.readyAt = zone, cell, cmp.Or(max(size, 0), 1), max(readyAt, b.back[id], 0)
 	e.listed, e.up = h != Gone, h == Running
 	e.running = e.up && !b.banned[id]
 }
@@ -324,16 +224,13 @@
 
 // renew forgets an endpoint's behaviour; it starts at the others' mean weight.
 func (b *Balancer) renew(e *endpoint) {
-	e.seen = seen{weight: weightMost, room: math.Min(b.roomLeast*(1+b.roomLeast), 1)}
-	e.took, e.did = b.usual, 1
-	e.of = make([]streak, len(b.products)+1)
-	e.tokens = b.chance() // sidecars told together do not all send their first leg at once
-	if n := float64(len(b.ready)); n > 0 {
-		e.weight = 0
-		for _, o := range b.ready {
-			e.weight += o.weight / n
-		}
+	weight, n := 0.0, float64(len(b.ready))
+	for _, o := range b.ready {
+		weight += o.weight / n
 	}
+	// Tokens by chance: sidecars told together do not all send their first leg at once.
+	e.seen = seen{weight: cmp.Or(weight, weightMost), room: math.Min(b.roomLeast*(1+b.roomLeast), 1),
+		tokens: b.chance(), took: b.usual, did: 1, of: make([]streak, len(b.products)+1)}
 }
 
 // ListEnds ends a list event. The disk's list is old; any other shows that the watch works.
@@ -353,7 +250,6 @@
 	b.drain()
 }
 
-// gather finds who may get anything.
 func (b *Balancer) gather() {
 	b.ready, b.sizes = b.ready[:0], 0
 	for _, e := range b.endpoints {
@@ -363,21 +259,18 @@
 	}
 	if b.pool {
 		slices.SortStableFunc(b.ready, func(p, q *endpoint) int { return cmp.Compare(b.far(p), b.far(q)) })
-		few := slices.IndexFunc(b.ready, func(e *endpoint) bool { return b.far(e) > 0 })
-		if few >= 0 {
+		if few := slices.IndexFunc(b.ready, func(e *endpoint) bool { return b.far(e) > 0 }); few >= 0 {
 			b.ready = b.ready[:min(max(few, poolLeast), len(b.ready))]
 		}
 	}
+	b.odds = b.odds[:0]
 	for _, e := range b.ready {
-		b.sizes += e.size
+		b.sizes, b.odds = b.sizes+e.size, append(b.odds, 0)
 	}
-	b.odds = slices.Grow(b.odds[:0], len(b.ready))[:len(b.ready)]
 }
 
-// ---- the pool
-
-// far is 0 for who is shared by this sidecar: a pool shares an endpoint among few, who keep connections to it and tell
-// each other of their legs there. The others follow in an order of our own, where chance left us few.
+// far is 0 for an endpoint that this sidecar shares: few do, keep connections to it and tell each other of
+// their legs there. The others follow in an order of our own, where chance left us few.
 func (b *Balancer) far(e *endpoint) uint64 {
 	for n := 0; len(e.kin) < poolSize && n < 2*poolSize; n++ {
 		if peer := jump(mix(e.mark, n), b.fleet); e.share(peer) < 0 {
@@ -390,13 +283,11 @@
 	return mix(e.mark, -2-int(b.me)) | 1
 }
 
-// share is a sidecar's place among those who share an endpoint, -1 for none.
 func (e *endpoint) share(p PeerID) int {
 	return slices.IndexFunc(e.kin, func(k kin) bool { return k.peer == p })
 }
 
-// tell lets those who share an endpoint know of all our legs there, so that a lost message misleads only until the
-// next, and how one fared.
+// tell lets sharers know of all our legs there, so that a lost message misleads briefly, and how one fared.
 func (b *Balancer) tell(x *exchange, l *leg, o Outcome, took float64) {
 	if !b.pool {
 		return
@@ -413,11 +304,11 @@
 	}
 }
 
-// Told takes what another sidecar wrote. What is malformed, of no use or overtaken by a later one changes nothing.
+// Told takes what another sidecar wrote. What is malformed, of no use or overtaken changes nothing.
 func (b *Balancer) Told(from PeerID, text []byte) {
 	w, ok := read(text)
 	e := b.marks[w.mark()]
-	if !b.pool || !ok || e == nil || from < 0 || from == b.me {
+	if !b.pool || !ok || e == nil || len(e.kin) == 0 || from < 0 || from == b.me {
 		return
 	}
 	n := e.share(from)
@@ -452,17 +343,15 @@
 	}
 }
 
-// ---- an exchange's way
-
 // Arrive takes an exchange; from here on it is owed one final answer. One whose request is still coming
 // gets no copy, and no further leg once Spent.
 func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, abandon Millis, cost float64, coming bool) {
 	x := b.seat()
-	x.id, x.product, x.tenant, x.coming, x.spent = id, &b.unknown, t, coming, false
+	x.id, x.product, x.tenant, x.units, x.coming, x.spent = id, &b.unknown, t, 1, coming, false
 	if p >= 0 && int(p) < len(b.products) {
 		x.product = &b.products[p]
 	}
-	if x.units = 1; cost > 0 {
+	if cost > 0 {
 		b.hints++
 		b.cost += math.Max(1/b.hints, costGain) * (cost - b.cost)
 		x.units = cost / b.cost
@@ -476,7 +365,6 @@
 	}
 }
 
-// Spent tells that the request can't be sent again.
 func (b *Balancer) Spent(id ExchangeID) {
 	if x := b.open[id]; x != nil {
 		x.spent = true
@@ -505,15 +393,13 @@
 
 // hush: a leg in transfer only takes no room at its endpoint.
 func (b *Balancer) hush(l *leg, quiet bool) {
-	step := 1
-	if quiet {
-		step = -1
-	}
-	if quiet != l.quiet {
-		l.quiet, l.to.legs, b.out = quiet, l.to.legs+step, b.out+step
-		if l.to.work += float64(step) * l.units; l.to.legs == 0 {
-			l.to.work = 0
-		}
+	if quiet && !l.quiet {
+		l.to.legs, b.out, l.to.work = l.to.legs-1, b.out-1, l.to.work-l.units
+	} else if l.quiet && !quiet {
+		l.to.legs, b.out, l.to.work = l.to.legs+1, b.out+1, l.to.work+l.units
+	}
+	if l.quiet = quiet; l.to.legs == 0 {
+		l.to.work = 0
 	}
 }
 
@@ -521,9 +407,7 @@
 // again at once finds the door shut.
 func (b *Balancer) admits(x *exchange) Reason {
 	rank := b.rank(x)
-	if b.usualRank == 0 {
-		b.usualRank = rank
-	}
+	b.usualRank = cmp.Or(b.usualRank, rank)
 	b.usualRank += rankGain * (rank - b.usualRank)
 	if b.now < b.shutUntil {
 		return Shut
@@ -541,24 +425,6 @@
 	return (1 - b.roomLeast*b.roomLeast) * math.Min(math.Max((lost-shedAt)/shedSpan, 0), 1)
 }
 
-func (b *Balancer) seat() *exchange {
-	last := len(b.free) - 1
-	if last < 0 {
-		b.places = append(b.places, &exchange{place: len(b.places), legs: make([]leg, 0, b.maxLegs)})
-		return b.places[len(b.places)-1]
-	}
-	x := b.free[last]
-	b.free = b.free[:last]
-	return x
-}
-
-// vacate frees a place once nothing can come for it but late timers, which the turn tells apart.
-func (b *Balancer) vacate(x *exchange) {
-	delete(b.open, x.id)
-	x.turn, x.legs, x.next, x.id = x.turn+1, x.legs[:0], nil, ""
-	b.free = append(b.free, x)
-}
-
 func (b *Balancer) route(x *exchange) {
 	if len(b.queue) == 0 {
 		if e := b.pick(x); e != nil {
@@ -586,12 +452,9 @@
 	// A leg gets all the time left: cutting it for a further leg wastes more work than it saves.
 	patience := max(x.horizon-b.now-b.slack, b.slack/2, 1)
 	x.legs = append(x.legs, leg{to: e, sent: b.now, units: x.units, quiet: true})
-	x.out, b.sent = x.out+1, b.sent+1
-	x.next = stepRunning
 	l := &x.legs[len(x.legs)-1]
-	if !x.coming {
-		b.hush(l, false)
-	}
+	x.out, b.sent, x.next = x.out+1, b.sent+1, stepRunning
+	b.hush(l, x.coming)
 	l.ahead = e.held()
 	b.tell(x, l, Unclear, 0)
 	b.Send(x.id, e.id, patience)
@@ -601,7 +464,6 @@
 	return true
 }
 
-// counts books an exchange with its tenant.
 func (b *Balancer) counts(t TenantID) {
 	if t >= 0 && int(t) < len(b.admitted) {
 		b.admitted[t]++
@@ -609,10 +471,6 @@
 	}
 }
 
-func (b *Balancer) wakeFor(x *exchange, after Millis, w what) {
-	b.Wake(after, TimerID(x.place)<<40|TimerID(x.turn)<<8|TimerID(w)<<4|2)
-}
-
 // Alarm takes a timer; one set for an earlier user of a place is stale and does nothing.
 func (b *Balancer) Alarm(t TimerID) {
 	switch place := int(t >> 40); {
@@ -634,7 +492,6 @@
 		l := &x.legs[n]
 		l.streams = true
 		b.hush(l, true)
-		b.tell(x, l, Satisfied, float64(b.now-l.sent))
 		b.account(x, l, Satisfied, float64(b.now-l.sent))
 		b.cancelOthers(x, n)
 		x.next(b, x, result{what: streamBegan})
@@ -642,14 +499,12 @@
 	}
 }
 
-// Left ends an exchange whose client went away.
 func (b *Balancer) Left(id ExchangeID) {
 	if x := b.open[id]; x != nil {
 		x.next(b, x, result{what: clientLeft})
 	}
 }
 
-// Ended takes a leg's outcome: first the endpoint's account, then the exchange's next step.
 func (b *Balancer) Ended(id ExchangeID, n LegNo, o Outcome, took Millis, closed bool) {
 	x := b.open[id]
 	if x == nil || int(n) >= len(x.legs) || x.legs[n].ended {
@@ -659,16 +514,13 @@
 	l.ended, l.neverRan = true, o == Full || o == NoConnection || o == NotSent
 	x.out--
 	b.hush(l, true)
-	if l.streams && (o == Satisfied || o == Cancelled) {
-		o = Unclear
+	if !l.streams || o != Satisfied && o != Cancelled {
+		b.account(x, l, o, float64(took))
 	}
-	b.tell(x, l, o, float64(took))
-	b.account(x, l, o, float64(took))
 	x.next(b, x, result{what: legEnded, outcome: o, closed: closed})
 	b.drain()
 }
 
-// stepRunning awaits the outcome of legs that are out, or the time for a copy.
 func stepRunning(b *Balancer, x *exchange, r result) {
 	switch {
 	case r.what == clientLeft || r.closed:
@@ -686,7 +538,6 @@
 	}
 }
 
-// stepQueued awaits room; drain sends it on, the end of its wait gives it up.
 func stepQueued(b *Balancer, x *exchange, r result) {
 	switch r.what {
 	case waitOver:
@@ -698,26 +549,22 @@
 	}
 }
 
-// stepStreaming awaits the end of a stream, for which no time-out runs.
 func stepStreaming(b *Balancer, x *exchange, r result) {
 	if r.closed || r.what == clientLeft {
 		b.finish(x)
 	}
 }
 
-// stepOver awaits the outcomes of legs left behind by an exchange that has ended.
 func stepOver(b *Balancer, x *exchange, _ result) {
 	if x.out == 0 {
 		b.vacate(x)
 	}
 }
 
-// finish closes the books on an exchange that has its final answer.
 func (b *Balancer) finish(x *exchange) {
 	b.cancelOthers(x, -1)
 	b.window[b.part].ended++
-	b.retries = math.Min(b.retries+retryEarn, retryMost)
-	x.next = stepOver
+	b.retries, x.next = math.Min(b.retries+retryEarn, retryMost), stepOver
 	stepOver(b, x, result{})
 }
 
@@ -758,8 +605,6 @@
 	}
 }
 
-// ---- rules
-
 // gate holds every rule that a leg must keep.
 func (b *Balancer) gate(x *exchange, e *endpoint) bool {
 	if !e.running || len(x.legs) >= b.maxLegs || x.horizon <= b.now || x.spent && len(x.legs) > 0 {
@@ -797,19 +642,18 @@
 
 func (b *Balancer) effort(x *exchange) float64 { return x.product.usual / b.usual }
 
-// ---- the pick
-
 // pick draws two by weight and takes the one with fewer legs. Doubtful ones have room because they fail.
 func (b *Balancer) pick(x *exchange) *endpoint {
-	total := 0.0
+	total, fits := 0.0, b.fits(x)
 	b.rooms, b.others = 0, 0
-	fits := b.fits(x)
 	for i, e := range b.ready {
 		part := b.capacityNow(e)
-		b.rooms += e.room * part // a cold server's room is not there yet
-		b.others += e.others
-		b.odds[i] = 0
-		if held := e.held(); held > 0 && (b.pool && b.time(x, e) > fits || !b.pool && held > e.room-b.chance()) || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
+		b.rooms, b.others, b.odds[i] = b.rooms+e.room*part, b.others+e.others, 0 // a cold one's is not there yet
+		full := e.legs > 0 && float64(e.legs) > e.room-b.chance()
+		if b.pool {
+			full = e.held() > 0 && b.time(x, e) > fits
+		}
+		if full || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
 			continue
 		}
 		if e.called {
@@ -836,16 +680,14 @@
 		b.odds[i] = odds
 		total += odds
 	}
-	// A large fleet's many small rooms must not add up to a crowd. Where none shows, a heavy sidecar needs more
-	// than its part from the start.
+	// A large fleet's many small rooms must not add up to a crowd. Where none shows, a heavy sidecar needs more.
 	calm := math.Max(1-roomCalm*(b.lost+b.lostLong), 0)
-	if total <= 0 || !b.pool && float64(b.out+1)+b.others > math.Max(b.rooms*roomOver, legsFree)*(1+roomMore*calm) {
+	if total <= 0 || !b.pool && float64(b.out+1) > math.Max(b.rooms*roomOver, legsFree)*(1+roomMore*calm) {
 		return nil
 	}
 	one := b.draw(total)
-	total -= b.odds[one]
-	b.odds[one] = 0
-	if total > 1e-9 {
+	if total -= b.odds[one]; total > 1e-9 {
+		b.odds[one] = 0
 		if two := b.draw(total); b.load(x, b.ready[two]) < b.load(x, b.ready[one]) {
 			one = two
 		}
@@ -853,12 +695,11 @@
 	return b.ready[one]
 }
 
-// held is all that an endpoint has to do, as far as we know, in legs of mean work.
 func (e *endpoint) held() float64 { return e.work + e.others }
 
 // familiar tells who lately answered in time: a light sidecar meets the others too seldom to know them.
 func (b *Balancer) familiar(e *endpoint) bool {
-	return e.fine > e.lost && b.now-e.fine < familiarShare*b.lasting
+	return e.fine > e.lost && b.now-e.fine < b.lasting*familiarShare
 }
 
 func (b *Balancer) draw(total float64) int {
@@ -882,7 +723,7 @@
 	return most * math.Min(math.Pow(b.rank(x)/b.usualRank, fitRank), 1)
 }
 
-// load is the design's count of legs in flight; in a pool, where all are known, by the time that they take there.
+// load is the design's count of legs in flight; in a pool, where all are known, by the time they take there.
 func (b *Balancer) load(x *exchange, e *endpoint) float64 {
 	l := e.held() + 1
 	if b.pool {
@@ -913,24 +754,13 @@
 		slices.ContainsFunc(b.ready, func(o *endpoint) bool { return o.of[p].length < 2 })
 }
 
-func (b *Balancer) gamma(k int) float64 {
-	p := 1.0
-	for ; k > 0; k-- {
-		p *= b.chance()
-	}
-	return -math.Log(p)
-}
-
-// ---- the queue
-
 // lineUp lets an exchange wait for room, if an answer in time is likely; the least worthy gives way.
 func (b *Balancer) lineUp(x *exchange) {
 	if len(b.ready) == 0 {
 		b.giveUp(x, Unlisted)
 		return
 	}
-	x.next = stepQueued
-	b.queue = append(b.queue, x)
+	x.next, b.queue = stepQueued, append(b.queue, x)
 	b.wakeFor(x, max(min(x.horizon-b.now-Millis(x.product.usual), (x.horizon-b.now)/2), 1), waitOver)
 	for len(b.queue) > 0 {
 		least := slices.MinFunc(b.queue, b.byRank)
@@ -976,13 +806,14 @@
 	}
 }
 
-// ---- what is learned
-
 // account books a leg's outcome with its endpoint. A product that fails at all of them must not shut them.
 func (b *Balancer) account(x *exchange, l *leg, o Outcome, took float64) {
 	e := l.to
+	if x != &b.theirs {
+		b.tell(x, l, o, took)
+	}
 	b.weigh(x, l, o, took)
-	if took > 0 && (o == Satisfied || o == TimedOut) { // through the origin: the more there was ahead the more it tells
+	if took > 0 && (o == Satisfied || o == TimedOut) { // through the origin: much ahead tells more
 		e.took += paceGain * (took*l.ahead - e.took)
 		e.did += paceGain * (l.ahead*l.ahead - e.did)
 		if l.ahead > 0.5 && l.ahead <= 1 {
@@ -1011,7 +842,6 @@
 	b.judge(e)
 }
 
-// learn takes the time of a satisfied leg.
 func (b *Balancer) learn(x *exchange, e *endpoint, took float64) {
 	b.recent[b.samples%recentLength] = took
 	b.samples++
@@ -1061,8 +891,8 @@
 func (b *Balancer) widen(l *leg, late bool) {
 	switch e := l.to; {
 	case late && l.sent >= e.braked:
-		e.room, e.braked = math.Max(math.Min(e.room, e.held()+1)*roomFall, b.roomLeast), b.now
-	case !late && e.held()+1 > e.room/2 && float64(b.out+1)+b.others > b.rooms*roomUse:
+		e.room, e.braked = math.Max(math.Min(e.room, float64(e.legs+1))*roomFall, b.roomLeast), b.now
+	case !late && float64(e.legs+1) > e.room/2 && float64(b.out+1) > b.rooms*roomUse:
 		e.room += roomRise * math.Max(e.room, 1)
 	}
 }
@@ -1099,12 +929,10 @@
 	}
 }
 
-// pulse is the regular upkeep.
 func (b *Balancer) pulse() {
 	b.Wake(b.beat, 0)
 	b.rate += (1 - math.Exp(-float64(b.beat)/2000)) * (b.sent/float64(b.beat) - b.rate)
-	b.sent = 0
-	b.admittedAll *= b.fade
+	b.sent, b.admittedAll = 0, b.admittedAll*b.fade
 	b.lost -= b.lost * float64(b.beat/b.lasting) / lostFade // a shut sidecar hears nothing: it opens by itself
 	b.lostLong -= b.lostLong * float64(b.beat/b.lasting) / lostLongFade
 	for t := range b.admitted {
@@ -1119,10 +947,7 @@
 		for _, w := range b.window {
 			copies, ended = copies+w.copies, ended+w.ended
 		}
-		b.ratioAt, b.ratio = b.now, 0
-		if ended > 0 {
-			b.ratio = copies / ended
-		}
+		b.ratioAt, b.ratio = b.now, copies*math.Min(ended, 1)/math.Max(ended, 1)
 	}
 	for _, e := range b.ready {
 		e.good, e.bad = e.good*b.fade, e.bad*b.fade
--- a/logic/message.go
+++ b/logic/message.go
@@ -28,7 +28,7 @@
 func (w word) work() float64              { return float64(w[3]) / wordParts }
 func (w word) fared() (Outcome, Millis)   { return Outcome(w[4]), Millis(uint16(w[7])<<8 | uint16(w[8])) }
 func (w word) product() int               { return int(w[5]) }
-func (w word) ahead() float64             { return float64(w[6]) / wordParts }
+func (w word) ahead() float64             { return float64(max(w[6], 1)) / wordParts }
 func (w word) begun() (TenantID, float64) { return TenantID(w[10]) - 1, float64(w[9]) / wordParts }
 
 // markOf is FNV-1a, folded.
--- /dev/null
+++ b/logic/slab.go
@@ -0,0 +1,80 @@
+package logic
+
+import "math"
+
+// The places of exchanges, their timers, and chance. Nothing is decided here: a place keeps in next the step that does.
+
+type leg struct {
+	to                                          *endpoint
+	sent                                        Millis
+	units, ahead                                float64 // its work, in mean legs; with what was there when it was sent
+	ended, neverRan, late, lost, quiet, streams bool    // quiet: no work for its endpoint now, in transfer only
+}
+
+type what int
+
+const (
+	legEnded what = iota
+	copyDue
+	waitOver
+	clientLeft
+	streamBegan
+)
+
+type result struct {
+	what    what
+	outcome Outcome
+	closed  bool
+}
+
+type step func(b *Balancer, x *exchange, r result)
+
+// exchange is a place of the slab; its turn tells one user of the place from the next.
+type exchange struct {
+	id            ExchangeID
+	place, out    int
+	turn          uint32
+	next          step
+	product       *product
+	tenant        TenantID
+	units         float64 // of work, by its hint
+	horizon       Millis  // after it no answer is worth anything
+	legs          []leg
+	coming, spent bool // its request has not come whole; nor can it be sent again: what its leg took was not kept
+}
+
+func (b *Balancer) seat() *exchange {
+	last := len(b.free) - 1
+	if last < 0 {
+		b.places = append(b.places, &exchange{place: len(b.places), legs: make([]leg, 0, b.maxLegs)})
+		return b.places[len(b.places)-1]
+	}
+	x := b.free[last]
+	b.free = b.free[:last]
+	return x
+}
+
+// vacate frees a place once nothing can come for it but late timers, which the turn tells apart.
+func (b *Balancer) vacate(x *exchange) {
+	delete(b.open, x.id)
+	x.turn, x.legs, x.next, x.id = x.turn+1, x.legs[:0], nil, ""
+	b.free = append(b.free, x)
+}
+
+func (b *Balancer) wakeFor(x *exchange, after Millis, w what) {
+	b.Wake(after, TimerID(x.place)<<40|TimerID(x.turn)<<8|TimerID(w)<<4|2)
+}
+
+// chance is a multiply-with-carry generator's next number, from 0 to 1 exclusive.
+func (b *Balancer) chance() float64 {
+	b.dice = (b.dice&0xffffffff)*4294957665 + b.dice>>32
+	return (float64(uint32(b.dice)) + 0.5) / (1 << 32)
+}
+
+func (b *Balancer) gamma(k int) float64 {
+	p := 1.0
+	for ; k > 0; k-- {
+		p *= b.chance()
+	}
+	return -math.Log(p)
+}
