The program reads the pool's settings, checks them, and refuses a mix of shapes by its key

New in the start file: peers (addresses by number), settings.allowed.peers, me, multiplex, registry-mode pushed, value-by; absent ones leave the shape of old. terms.Check refuses impossible figures and names the key. Cost hints come from Request-Info. Tests on loopback: two sidecars, datagrams and pushed lists as stand-ins, spoilt and too long messages. Before: a negative time or a share over 1 was taken as it stood, and the list was always asked for whatever the settings said.

--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -26,6 +26,7 @@
 	lists, listLost, listVersion, endpoints, reloads, reloadFaults                      atomic.Int64
 	streams, streamsBroken                                                              atomic.Int64
 	avoided, consoleCalls                                                               atomic.Int64
+	messagesTold, messagesHeard, messagesLost                                           atomic.Int64
 	classes                                                                             []classCounters
 	noClass                                                                             classCounters
 }
@@ -74,6 +75,7 @@
 		{"standstills", &c.standstills}, {"standstill_ms", &c.standstillMs}, {"lists", &c.lists}, {"lists_lost", &c.listLost},
 		{"list_version", &c.listVersion}, {"list_endpoints", &c.endpoints},
 		{"endpoints_avoided", &c.avoided}, {"console_calls", &c.consoleCalls},
+		{"messages_told", &c.messagesTold}, {"messages_heard", &c.messagesHeard}, {"messages_lost", &c.messagesLost},
 		{"reloads", &c.reloads}, {"reload_faults", &c.reloadFaults},
 	} {
 		visit(f.name, f.n.Load())
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -32,6 +32,7 @@
 	id       logic.ExchangeID
 	product  logic.ProductID
 	tenant   logic.TenantID
+	cost     float64 // its work by its client's hint; 0 for none
 	abandon  logic.Millis
 	wait     logic.Millis // from its last byte
 	coming   bool         // its last byte has not come
@@ -129,6 +130,7 @@
 	up        *upstream
 	list      *lists
 	hands     *hands
+	messages  messenger // nil for none
 	products  []logic.Product
 	urgent    struct {
 		sync.Mutex
@@ -300,7 +302,7 @@
 	l.held.Add(1)
 	l.open[x.id] = x
 	l.set(alarm{at: x.abandon + l.grace, guard: x})
-	l.module.Arrive(x.id, x.product, x.tenant, x.abandon, 0, x.coming)
+	l.module.Arrive(x.id, x.product, x.tenant, x.abandon, x.cost, x.coming)
 }
 
 func (e departure) happen(l *loop) {
@@ -563,9 +565,6 @@
 
 func (l *loop) Wake(after logic.Millis, t logic.TimerID) { l.set(alarm{at: l.now + after, id: t}) }
 
-// Tell is for a pool. No page gives a protocol for it yet: Decode refuses settings that ask for it.
-func (l *loop) Tell(logic.PeerID, []byte) {}
-
 func (l *loop) Watch() {
 	if !l.list.live {
 		l.list.asked = l.now
--- /dev/null
+++ b/internal/sidecar/pool.go
@@ -0,0 +1,109 @@
+// Pool: the seams of the shape in which clients reach a pool of sidecars. This file owns which parts a configuration asks
+// for, what goes between the module and them, and its bounds. It must never speak a protocol of its own: none is given yet
+// for messages, pushed lists or many exchanges on a connection.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"github.com/valyala/fastjson"
+
+	"github.com/lynxjunction/lynxjunction/internal/terms"
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+// messenger carries the sidecars' messages. Neither call waits; what can't be sent or heard at once is lost.
+type messenger interface {
+	tell(to logic.PeerID, text []byte)
+	hear(ctx context.Context, each func(from logic.PeerID, text []byte))
+}
+
+// pusher brings the list unasked.
+type pusher interface {
+	follow(ctx context.Context, each func(inventory))
+}
+
+const messageMost = 256
+
+// heard is a message of another sidecar.
+type heard struct {
+	from logic.PeerID
+	text []byte
+}
+
+// shape reads and checks which shape the configuration is of. One that mixes two is refused, by the key that does not fit.
+func (s *Start) shape(v, settings *fastjson.Value) error {
+	if err := terms.Check(settings); err != nil {
+		return err
+	}
+	peers := v.GetArray("peers")
+	for n, p := range peers {
+		addr := string(p.GetStringBytes())
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return fmt.Errorf("peers[%d]: %w", n, err)
+		}
+		s.Peers = append(s.Peers, addr)
+	}
+	fleet := settings.GetInt("fleet-size")
+	switch s.pushed, s.streams = terms.Pushed(settings), terms.Streams(settings); {
+	case len(peers) > 0 && !terms.Pools(settings):
+		return errors.New("peers: settings.allowed.peers does not allow messages")
+	case terms.Pools(settings) && len(peers) != fleet:
+		return fmt.Errorf("peers: %d addresses for a settings.fleet-size of %d", len(peers), fleet)
+	case s.pushed && s.Discovery != "":
+		return errors.New("discovery: nobody is asked where settings.registry-mode is pushed")
+	case s.streams > 1 && !terms.Pools(settings):
+		return fmt.Errorf("settings.allowed.multiplex: %d exchanges on a connection are for pools only", s.streams)
+	}
+	return nil
+}
+
+// lacks names the first key that asks for a part which this build does not have.
+func (s *Start) lacks() error {
+	switch {
+	case s.terms.Peers && s.messages == nil:
+		return errors.New("settings.allowed.peers: this build has no way to carry messages")
+	case s.pushed && s.lists == nil:
+		return errors.New("settings.registry-mode: this build has no way to take a pushed list")
+	case s.streams > 1:
+		return errors.New("settings.allowed.multiplex: this build has one exchange on a connection")
+	}
+	return nil
+}
+
+// joinPool sets the parts going that the shape has.
+func (s *Start) joinPool(ctx context.Context, l *loop) {
+	if l.messages = s.messages; l.messages != nil {
+		go l.messages.hear(ctx, l.hears)
+	}
+	if s.lists != nil {
+		go s.lists.follow(ctx, func(i inventory) { l.post(listing{inventory: i}) })
+	}
+}
+
+// hears never waits: under load messages are what gives way, and the module survives their loss.
+func (l *loop) hears(from logic.PeerID, text []byte) {
+	if len(text) <= messageMost {
+		select {
+		case l.queue <- heard{from, append([]byte(nil), text...)}:
+			return
+		default:
+		}
+	}
+	l.counters.messagesLost.Add(1)
+}
+
+func (e heard) happen(l *loop) {
+	l.counters.messagesHeard.Add(1)
+	l.module.Told(e.from, e.text)
+}
+
+func (l *loop) Tell(to logic.PeerID, text []byte) {
+	if l.messages != nil {
+		l.counters.messagesTold.Add(1)
+		l.messages.tell(to, text)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/pool_test.go
@@ -0,0 +1,152 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fastjson"
+	"go.uber.org/zap"
+
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+// Settings of both shapes in one file would start a sidecar that neither shares its endpoints nor knows its own load.
+func TestOneShapeOrTheOther(t *testing.T) {
+	const old, peers = `"discovery":"a:2",`, `"peers":["a:3","b:3"],`
+	pool := `{"fleet-size":2,"me":1,"registry-mode":"pushed","allowed":{"peers":true,"multiplex":%s},"products":[{}]}`
+	for _, c := range []struct{ name, keys, settings, fault, lacks string }{
+		{"of old", old, `{"products":[{}]}`, "", ""},
+		{"a pool whose lists are asked for", old + peers, `{"fleet-size":2,"allowed":{"peers":true},"products":[{}]}`, "",
+			"settings.allowed.peers:"},
+		{"a pool whose lists are pushed", peers, fmt.Sprintf(pool, "1"), "", "settings.allowed.peers:"},
+		{"with many on a connection", peers, fmt.Sprintf(pool, "100"), "", "settings.allowed.peers:"},
+		{"pushed only", "", `{"registry-mode":"pushed","products":[{}]}`, "", "settings.registry-mode:"},
+		{"peers without leave", old + peers, `{"fleet-size":2,"products":[{}]}`, "peers:", ""},
+		{"leave without peers", old, `{"fleet-size":2,"allowed":{"peers":true},"products":[{}]}`, "peers:", ""},
+		{"too few peers", old + `"peers":["a:3"],`, `{"fleet-size":2,"allowed":{"peers":true},"products":[{}]}`, "peers:", ""},
+		{"no address", old + `"peers":["a:3",7],`, `{"fleet-size":2,"allowed":{"peers":true},"products":[{}]}`, "peers[1]:", ""},
+		{"pushed and asked for", old, `{"registry-mode":"pushed","products":[{}]}`, "discovery:", ""},
+		{"many on a connection, no pool", old, `{"allowed":{"multiplex":100},"products":[{}]}`, "settings.allowed.multiplex:", ""},
+		{"a wrong figure", old, `{"fleet-size":-2,"products":[{}]}`, "settings.fleet-size:", ""},
+		{"nobody to ask", "", `{"products":[{}]}`, "discovery", ""},
+	} {
+		s, err := Decode([]byte(`{"seed":"1f","listen":"a:1",` + c.keys + `"settings":` + c.settings + `}`))
+		if c.fault != "" {
+			assert.ErrorContains(t, err, c.fault, c.name)
+			continue
+		}
+		if !assert.NoError(t, err, c.name) {
+			continue
+		}
+		if c.lacks == "" {
+			assert.NoError(t, s.lacks(), c.name)
+			continue
+		}
+		assert.ErrorContains(t, s.lacks(), c.lacks, c.name)
+		assert.Contains(t, s.String(), "can't serve: "+c.lacks, c.name)
+		assert.ErrorContains(t, s.Serve(context.Background(), zap.NewNop(), nil, nil), c.lacks, c.name)
+	}
+}
+
+func TestCostHint(t *testing.T) {
+	for info, want := range map[string]float64{
+		"": 0, "cost=12.5": 12.5, "a=1, cost=3 ,b=2": 3, "cost=": 0, "cost=-1": 0, "cost=nan": 0, "cost=+Inf": 0, "cost": 0, "costs=4": 0,
+	} {
+		assert.Equal(t, want, costHint(info), info)
+	}
+}
+
+// datagrams is a stand-in for what carries messages: one datagram each, the sender's number first.
+type datagrams struct {
+	net.PacketConn
+	me logic.PeerID
+	to []net.Addr
+}
+
+func (d *datagrams) tell(to logic.PeerID, text []byte) {
+	d.WriteTo(append([]byte{byte(d.me)}, text...), d.to[to])
+}
+
+func (d *datagrams) hear(_ context.Context, each func(logic.PeerID, []byte)) {
+	for b := make([]byte, 2048); ; {
+		n, _, err := d.ReadFrom(b)
+		if err != nil {
+			return
+		}
+		if n > 0 {
+			each(logic.PeerID(b[0]), b[1:n])
+		}
+	}
+}
+
+// pushed is a stand-in for what pushes lists: lines of JSON on a connection.
+type pushed struct{ net.Conn }
+
+func (p pushed) follow(_ context.Context, each func(inventory)) {
+	for in := bufio.NewScanner(p); in.Scan(); {
+		if i, err := decode(fastjson.MustParseBytes(in.Bytes())); err == nil {
+			each(i)
+		}
+	}
+}
+
+func settled(t *testing.T, text string, done func() bool) {
+	require.Eventually(t, done, 10*time.Second, time.Millisecond, text)
+}
+
+// Two sidecars of a pool, lists pushed to both: what one has out the other hears of and keeps away from, and neither spoilt
+// datagrams nor a flood of them do any harm.
+func TestPoolOnLoopback(t *testing.T) {
+	slow, quick := newStandIn(t, silent), newStandIn(t, say(fine, true))
+	ends := make([]net.PacketConn, 2)
+	addrs := make([]net.Addr, 2)
+	for n := range ends {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		ends[n], addrs[n] = c, c.LocalAddr()
+	}
+	pool := make([]*running, 2)
+	var push [2]net.Conn
+	for n := range pool {
+		here, there := net.Pipe()
+		push[n] = here
+		pool[n] = begin(t, "null", func(s *Start) {
+			s.terms.Peers, s.terms.Fleet, s.terms.Me, s.terms.MustAsk = true, 2, logic.PeerID(n), false
+			s.messages = &datagrams{ends[n], logic.PeerID(n), addrs}
+			s.lists = pushed{there}
+		})
+		t.Cleanup(func() { here.Close() })
+	}
+	tell := func(list string) {
+		for n := range pool {
+			heard := pool[n].loop.counters.lists.Load()
+			fmt.Fprintln(push[n], list)
+			settled(t, "the list", func() bool { return pool[n].loop.counters.lists.Load() > heard })
+		}
+	}
+	tell(known(slow.Listener))
+	assert.Zero(t, pool[0].loop.counters.listLost.Load(), "nobody is asked for a list")
+	held := pool[0].dial()
+	fmt.Fprint(held, ask("1", "GET", "look/1", ""))
+	settled(t, "the leg is told of", func() bool { return pool[1].loop.counters.messagesHeard.Load() > 0 })
+	tell(known(slow.Listener, quick.Listener))
+	for n := range 5 {
+		assert.Equal(t, 200, pool[1].status(ask(fmt.Sprint("q", n), "GET", "look/1", "")), "the idle one serves")
+	}
+	for _, text := range []string{"", "\x00", "\x00short", "\x00" + strings.Repeat("x", 11), "\x09" + strings.Repeat("y", 2000)} {
+		for range 50 {
+			ends[0].WriteTo([]byte(text), addrs[1])
+		}
+	}
+	settled(t, "too long a message", func() bool { return pool[1].loop.counters.messagesLost.Load() > 0 })
+	assert.Equal(t, 200, pool[1].status(ask("last", "GET", "look/1", "")))
+	assert.Zero(t, pool[1].loop.counters.panics.Load())
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -400,7 +400,7 @@
 	}
 	x = &exchange{
 		id: logic.ExchangeID(id[0]), product: product, tenant: s.names.Tenant([]byte(r.Header.Get("Tenant"))),
-		abandon: s.loop.at(sent) + wait, wait: wait, answer: make(chan answer, 1), coming: rest != nil,
+		cost: costHint(r.Header.Get("Request-Info")), abandon: s.loop.at(sent) + wait, wait: wait, answer: make(chan answer, 1), coming: rest != nil,
 		request: request{method: r.Method, class: class, head: head.Bytes(), body: body, rest: rest},
 	}
 	if rest != nil {
@@ -410,6 +410,18 @@
 	return x, 0, ""
 }
 
+// costHint finds the work in a request's further figures; what is no positive number is no hint.
+func costHint(info string) float64 {
+	for part := range strings.SplitSeq(info, ",") {
+		if name, value, _ := strings.Cut(strings.TrimSpace(part), "="); name == "cost" {
+			if cost, err := strconv.ParseFloat(value, 64); err == nil && cost > 0 && !math.IsInf(cost, 0) {
+				return cost
+			}
+		}
+	}
+	return 0
+}
+
 // product is named by class and path. It is taken for unknown, and so for single-use, unless the method agrees too: what is
 // repeated by mistake has two effects.
 func (s *front) product(r *http.Request) (class, p logic.ProductID, named bool) {
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -47,6 +47,11 @@
 	connect, idleClose      logic.Millis
 	grace                   logic.Millis  // past the abandon time in which an answer still counts
 	silence                 time.Duration // of discovery, after which the watch has ended
+	Peers                   []string      // the pool's addresses, by number; none outside a pool
+	pushed                  bool          // the list comes unasked
+	streams                 int           // exchanges on a connection
+	messages                messenger     // nil for none
+	lists                   pusher        // nil for none
 	lasting                 string        // limits and settings as written: they hold until a restart
 }
 
@@ -98,7 +103,13 @@
 	if limits != nil {
 		s.lasting += string(limits.MarshalTo(nil))
 	}
+	if err := s.shape(v, settings); err != nil {
+		return nil, err
+	}
 	for _, addr := range []string{s.Listen, s.Discovery} {
+		if addr == s.Discovery && s.pushed {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("listen or discovery: %w", err)
 		}
@@ -123,7 +134,6 @@
 		s.idleClose = 10000
 	}
 	s.terms, s.names = terms.From(settings, seed)
-	s.terms.MustAsk = true // on sockets a list comes to those who watch
 	if s.terms.AskWithin <= 0 {
 		s.terms.AskWithin = 10000
 	}
@@ -144,6 +154,15 @@
 	}
 	text := fmt.Sprintf("%s listens on %s, asks %s; %d products, %d endpoints known; %g cores, %d MB, %d sockets",
 		s.Name, s.Listen, s.Discovery, len(s.terms.Products), known, s.Cores, s.MemoryMB, s.Sockets)
+	if len(s.Peers) > 0 {
+		text += fmt.Sprintf("; number %d of a pool of %d", s.terms.Me, len(s.Peers))
+	}
+	if s.pushed {
+		text += "; lists are pushed"
+	}
+	if err := s.lacks(); err != nil {
+		text += "; can't serve: " + err.Error()
+	}
 	if s.knownFault != nil {
 		text += "; known: " + s.knownFault.Error()
 	}
@@ -162,6 +181,9 @@
 
 // Serve runs until ctx ends (SIGTERM) and all that was taken is answered. At each again (SIGHUP) it reads anew.
 func (s *Start) Serve(ctx context.Context, log *zap.Logger, again <-chan os.Signal, read func() (*Start, error)) error {
+	if err := s.lacks(); err != nil {
+		return err
+	}
 	s.limit()
 	past, err := inherit(s.dir)
 	if err != nil && err != errNoElder {
@@ -274,6 +296,7 @@
 		loop: l, names: s.names, products: s.terms.Products, sockets: books, counters: counters, log: log,
 		bodyRoom: int64(s.MemoryMB) << 20 / 4, keptMost: max(int64(s.MemoryMB)<<20/256, bodyMost),
 	}
+	s.joinPool(ctx, l)
 	go l.run()
 	go sweeping(ctx, up)
 	if log.Core().Enabled(zap.DebugLevel) {
--- /dev/null
+++ b/internal/terms/check.go
@@ -0,0 +1,96 @@
+package terms
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/valyala/fastjson"
+)
+
+// limits of the settings' figures, by key; what is absent keeps its default.
+var limits = []struct {
+	path        []string
+	least, most float64
+}{
+	{[]string{"fleet-size"}, 0, 1e6}, {[]string{"me"}, 0, 1e6}, {[]string{"tick"}, 0, 1e4},
+	{[]string{"overage-value"}, 0, 1}, {[]string{"prices", "cross-zone"}, 0, 1e3},
+	{[]string{"allowed", "max-legs"}, 0, 1e3}, {[]string{"allowed", "multiplex"}, 0, 1e6},
+	{[]string{"allowed", "max-retry-after"}, 0, math.MaxUint32}, {[]string{"allowed", "connect-timeout"}, 0, math.MaxUint32},
+	{[]string{"allowed", "idle-close"}, 0, math.MaxUint32}, {[]string{"guarantees", "ask-within"}, 0, math.MaxUint32},
+	{[]string{"guarantees", "cold"}, 0, math.MaxUint32}, {[]string{"guarantees", "fall"}, 0, math.MaxUint32},
+	{[]string{"guarantees", "cold-from"}, 0, 1}, {[]string{"guarantees", "fall-multiple"}, 0, 1e3},
+}
+
+// perProduct and perTenant are the limits of each entry's figures.
+var perProduct = map[string]float64{
+	"expected-time": math.MaxUint32, "abandon-time": math.MaxUint32, "key-ttl": math.MaxUint32, "value": math.MaxUint32,
+	"overdue-value": 1,
+}
+
+var perTenant = map[string]float64{"portion": 1}
+
+// words that a setting may have; absent is the first, which is the shape of old.
+var words = map[string][]string{"registry-mode": {"on_request", "pushed"}, "value-by": {"request", "work"}}
+
+// Check finds what no deployment can mean, and names the key. The simulator's settings are not checked: they are its own.
+func Check(settings *fastjson.Value) error {
+	for _, l := range limits {
+		if err := figure("settings", settings.Get(l.path...), l.least, l.most, l.path...); err != nil {
+			return err
+		}
+	}
+	for key, most := range perProduct {
+		for n, p := range settings.GetArray("products") {
+			if err := figure(fmt.Sprintf("settings.products[%d]", n), p.Get(key), 0, most, key); err != nil {
+				return err
+			}
+		}
+	}
+	for key, most := range perTenant {
+		for n, t := range settings.GetArray("tenants") {
+			if err := figure(fmt.Sprintf("settings.tenants[%d]", n), t.Get(key), 0, most, key); err != nil {
+				return err
+			}
+		}
+	}
+	for key, known := range words {
+		if v := settings.Get(key); v != nil && v.Type() != fastjson.TypeNull {
+			if word := string(v.GetStringBytes()); word != known[0] && word != known[1] {
+				return fmt.Errorf("settings.%s: %s is neither %s nor %s", key, v, known[0], known[1])
+			}
+		}
+	}
+	fleet, me := settings.GetInt("fleet-size"), settings.GetInt("me")
+	if Pools(settings) && fleet < 2 {
+		return fmt.Errorf("settings.fleet-size: %d, but settings.allowed.peers makes a pool", fleet)
+	}
+	if fleet > 0 && me >= fleet {
+		return fmt.Errorf("settings.me: %d is not among settings.fleet-size, %d", me, fleet)
+	}
+	return nil
+}
+
+func figure(at string, v *fastjson.Value, least, most float64, path ...string) error {
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return nil
+	}
+	for _, key := range path {
+		at += "." + key
+	}
+	f, err := v.Float64()
+	if err != nil || math.IsNaN(f) || f < least || f > most {
+		return fmt.Errorf("%s: %s is no number from %g to %g", at, v, least, most)
+	}
+	return nil
+}
+
+// Pools tells whether the sidecars may write to one another.
+func Pools(settings *fastjson.Value) bool { return settings.GetBool("allowed", "peers") }
+
+// Pushed tells whether the list comes unasked.
+func Pushed(settings *fastjson.Value) bool {
+	return string(settings.GetStringBytes("registry-mode")) == "pushed"
+}
+
+// Streams is how many exchanges a connection carries at once.
+func Streams(settings *fastjson.Value) int { return max(settings.GetInt("allowed", "multiplex"), 1) }
--- /dev/null
+++ b/internal/terms/check_test.go
@@ -0,0 +1,60 @@
+package terms
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/valyala/fastjson"
+
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+// A figure that no deployment can have was taken as it stood: a negative time or a share over 1 bent every decision.
+func TestCheckNamesTheKey(t *testing.T) {
+	for _, c := range []struct{ text, fault string }{
+		{`{}`, ""},
+		{`{"fleet-size":3,"me":2,"allowed":{"peers":true,"multiplex":100},"registry-mode":"pushed","value-by":"work"}`, ""},
+		{`{"fleet-size":null,"registry-mode":null,"prices":{"cross-zone":0.03}}`, ""},
+		{`{"fleet-size":-1}`, "settings.fleet-size"},
+		{`{"fleet-size":"3"}`, "settings.fleet-size"},
+		{`{"fleet-size":3,"me":3}`, "settings.me"},
+		{`{"me":-1}`, "settings.me"},
+		{`{"tick":nan}`, "settings.tick"},
+		{`{"overage-value":1.5}`, "settings.overage-value"},
+		{`{"prices":{"cross-zone":inf}}`, "settings.prices.cross-zone"},
+		{`{"guarantees":{"cold-from":1.1}}`, "settings.guarantees.cold-from"},
+		{`{"guarantees":{"fall-multiple":-2}}`, "settings.guarantees.fall-multiple"},
+		{`{"allowed":{"max-legs":-4}}`, "settings.allowed.max-legs"},
+		{`{"products":[{"value":1},{"expected-time":-5}]}`, "settings.products[1].expected-time"},
+		{`{"products":[{"overdue-value":2}]}`, "settings.products[0].overdue-value"},
+		{`{"tenants":[{"portion":-0.1}]}`, "settings.tenants[0].portion"},
+		{`{"registry-mode":"push"}`, "settings.registry-mode"},
+		{`{"value-by":7}`, "settings.value-by"},
+		{`{"allowed":{"peers":true}}`, "settings.fleet-size"},
+		{`{"fleet-size":1,"allowed":{"peers":true}}`, "settings.fleet-size"},
+	} {
+		v, err := fastjson.Parse(c.text)
+		if !assert.NoError(t, err, c.text) {
+			continue
+		}
+		if err = Check(v); c.fault == "" {
+			assert.NoError(t, err, c.text)
+		} else {
+			assert.ErrorContains(t, err, c.fault+":", c.text)
+		}
+	}
+}
+
+// What a deployment of old does not say must leave it as it was.
+func TestDefaultsAreTheShapeOfOld(t *testing.T) {
+	v := fastjson.MustParse(`{"products":[{"name":"a"}]}`)
+	got, _ := From(v, 1)
+	assert.True(t, got.MustAsk)
+	assert.False(t, got.Peers || got.ByWork)
+	assert.Zero(t, got.Me)
+	assert.False(t, Pools(v) || Pushed(v))
+	assert.Equal(t, 1, Streams(v))
+	got, _ = From(fastjson.MustParse(`{"me":4,"fleet-size":9,"registry-mode":"pushed","value-by":"work","allowed":{"peers":true}}`), 1)
+	assert.Equal(t, logic.PeerID(4), got.Me)
+	assert.True(t, got.Peers && got.ByWork && !got.MustAsk)
+}
