--- a/logic/logic.go
+++ b/logic/logic.go
@@ -813,7 +813,7 @@
 		b.tell(x, l, o, took)
 	}
 	b.weigh(x, l, o, took)
-	if took > 0 && (o == Satisfied || o == TimedOut) { // through the origin: much ahead tells more
+	if took > 0 && (o == Satisfied || o == TimedOut || o == Cancelled) { // through the origin
 		e.took += paceGain * (took*l.ahead - e.took)
 		e.did += paceGain * (l.ahead*l.ahead - e.did)
 		if l.ahead > 0.5 && l.ahead <= 1 {
