--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -42,6 +42,12 @@
 			`{"msg":"ALARM","sidecar":3,"label":9223372036854775808}`, end}, []string{`{"msg":"OK"}`}, []string{"DIE"}},
 		{"a fault inside an instance", "", []string{sync, hello, list, members, query,
 			strings.Replace(reply, `"try":0`, `"try":-1`, 1), end}, []string{`{"msg":"DIE","sidecar":3,"line":`}, nil},
+		{"a pool tells, and hears what makes no sense", "", []string{sync,
+			strings.Replace(strings.Replace(hello, `"max-legs":2`, `"max-legs":2,"peers":true`, 1), `"fleet-size":1`, `"fleet-size":5`, 1),
+			`{"msg":"MEMO","sidecar":3,"origin-peer":2,"contents":"zz"}`, `{"msg":"MEMO","sidecar":3,"origin-peer":-2,"contents":""}`,
+			`{"msg":"MEMO","sidecar":3}`, list, members, `{"msg":"MEMO","sidecar":3,"origin-peer":2,"contents":"0011"}`,
+			strings.Replace(query, `"cost":null`, `"cost":12.5`, 1), end},
+			[]string{`{"msg":"WRITE_PEER","sidecar":3,"to":`, `"contents":"`, `"endpoint":"10.0.0.1:80"}`}, []string{"DIE", `"to":0,`}},
 		{"not JSON", "line 2: not JSON", []string{sync, "{"}, nil, nil},
 		{"broken off", "line 2: input ended inside a batch", []string{sync}, nil, nil},
 	} {
--- a/logic/pool_test.go
+++ b/logic/pool_test.go
@@ -115,3 +115,158 @@
 	b, _ := begin("a")
 	b.Told(1, note(1, 4)) // where there is no pool
 }
+
+// answered passes n exchanges that each take so long, of the given cost.
+func answered(b *Balancer, n int, took Millis, cost float64) {
+	for i := range n {
+		x := ExchangeID(fmt.Sprintf("a%d-%d", b.samples, i))
+		b.Arrive(x, 0, -1, b.now+4000, cost, false)
+		b.At(b.now + took)
+		b.Ended(x, 0, Satisfied, took, true)
+	}
+}
+
+// An endpoint that takes long for one exchange alone was taken for crowded, and two cores got one leg between them.
+func TestPaceGivesRoom(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		took Millis
+		most int
+	}{
+		{"quick", 40, 4}, {"slow, not crowded", 200, 2}, {"so slow that none may wait", 400, 1},
+	} {
+		b, r := beginPool(0, 2, 1)
+		answered(b, 200, c.took, 0)
+		out := 0
+		for n := range 12 {
+			if arrive(b, r, ExchangeID(fmt.Sprint(n)), 0) != "" {
+				out++
+			}
+		}
+		assert.LessOrEqual(t, out, c.most+1, c.name)
+		assert.GreaterOrEqual(t, out, c.most-1, c.name)
+		assert.GreaterOrEqual(t, out, 1, c.name)
+	}
+}
+
+// Servers that all turned slow together must not make longer queues look right: that kept them choked for half a minute.
+func TestSlownessOfAllGivesNoMoreRoom(t *testing.T) {
+	b, _ := beginPool(0, 2, 1)
+	answered(b, 200, 50, 0)
+	before := b.alone
+	answered(b, 20, 300, 0)
+	assert.Less(t, b.alone, before*1.6)
+	answered(b, 200, 50, 0)
+	assert.InDelta(t, before, b.alone, before*0.2, "it falls at once")
+}
+
+// A leg told with next to no work ahead made the time alone infinite, then no number, and everything had room.
+func TestLightLegsLeaveTimesSane(t *testing.T) {
+	b, r := beginPool(0, 2, 2)
+	mark := markOf("e0")
+	for turn := range 200 {
+		b.Told(1, []byte{byte(mark >> 8), byte(mark), byte(turn), 0, byte(Satisfied), 0, 0, 1, 0, 0, 0})
+		answered(b, 1, 50, 0.001)
+		answered(b, 1, 50, 100)
+	}
+	e := b.known["e0"]
+	for _, f := range []float64{b.alone, e.took, e.did, e.took / e.did, b.capacity, b.usual} {
+		assert.False(t, math.IsNaN(f) || math.IsInf(f, 0) || f <= 0, f)
+	}
+	out := 0
+	for n := range 50 {
+		if arrive(b, r, ExchangeID(fmt.Sprint("n", n)), 0) != "" {
+			out++
+		}
+	}
+	assert.Less(t, out, 50, "not everything has room")
+}
+
+// A heavy exchange is no slow endpoint, and what is heavy weighs in the account of the others.
+func TestHintsWeigh(t *testing.T) {
+	a, ra := beginPool(0, 2, 2)
+	b, _ := beginPool(1, 2, 2)
+	for range 50 {
+		answered(a, 1, 50, 10)
+		answered(b, 1, 50, 10)
+		ra.take()
+	}
+	for id, e := range a.known {
+		e.took, e.did, b.known[id].took, b.known[id].did = 50, 1, 50, 1
+	}
+	a.Arrive("heavy", 0, -1, a.now+4000, 100, false)
+	to := a.open["heavy"].legs[0].to.id
+	pass(t, ra, b)
+	assert.Greater(t, b.known[to].others, 4.0)
+	for n := range 2 {
+		x := ExchangeID(fmt.Sprint("l", n))
+		b.Arrive(x, 0, -1, b.now+4000, 10, false)
+		assert.NotEqual(t, to, b.open[x].legs[0].to.id)
+	}
+}
+
+// Sharers each with a budget of their own would push a cold endpoint over together; each with a part of what it sends itself
+// left a fleet's new endpoints idle while the old ones were full.
+func TestColdBudgetIsThePools(t *testing.T) {
+	b, r := beginPool(0, 2, 1)
+	answered(b, 200, 50, 0)
+	b.Listed("e9", Running, 0, 0, 1, b.now)
+	b.ListEnds(false)
+	e := b.known["e9"]
+	mark := e.mark
+	if b.far(e) > 0 {
+		t.Fatal("two sidecars share all there is")
+	}
+	before := e.tokens
+	b.Told(1, []byte{byte(mark >> 8), byte(mark), 0, 4, byte(Unclear), 0, 4, 0, 0, 4, 0})
+	near(t, before-1, e.tokens)
+	start := b.now
+	sent, told := 0, 0
+	for n := 0; b.now < start+1000; n++ {
+		if n%2 == 0 && b.gate(&exchange{product: &b.products[0], units: 1, horizon: b.now + 1000}, e) {
+			b.Told(1, []byte{byte(mark >> 8), byte(mark), byte(told + 1), 4, byte(Unclear), 0, 4, 0, 0, 4, 0})
+			told++
+		}
+		b.known["e0"].weight = 0.001
+		if x := ExchangeID(fmt.Sprint("c", n)); arrive(b, r, x, 0) == "e9" {
+			sent++
+			b.At(b.now + 1)
+			b.Ended(x, 0, Satisfied, 50, true)
+		} else if b.open[x] != nil {
+			b.Left(x)
+		}
+		b.At(b.now + 5)
+		if n%40 == 0 {
+			b.Alarm(0)
+		}
+	}
+	// A warm one serves 20 a second alone; cold from 0.1 of that, three times it is the limit: 6, and a little more as it warms.
+	assert.LessOrEqual(t, sent+told, 9)
+	assert.GreaterOrEqual(t, sent+told, 2)
+}
+
+// Where value is paid for each unit of work, the product of most value per exchange and work is not the worthiest.
+func TestRankByWork(t *testing.T) {
+	for byWork, first := range map[bool]ProductID{true: 1, false: 0} {
+		b := New(Terms{Fleet: 1, MaxLegs: 1, ByWork: byWork, Products: []Product{
+			{Expected: 400, Value: 2}, {Expected: 4000, Value: 5},
+		}}, &record{}, 0)
+		light, heavy := b.rank(&exchange{product: &b.products[0], tenant: -1}), b.rank(&exchange{product: &b.products[1], tenant: -1})
+		assert.Equal(t, first == 1, heavy > light)
+	}
+}
+
+// A tenant that floods must be known from what all sharers took, not from one sidecar's few exchanges.
+func TestTenantsOfThePool(t *testing.T) {
+	b, _ := beginPool(0, 2, 2)
+	b.tenants, b.admitted, b.overShare = []float64{0.5, 0.5}, make([]float64, 2), 0.05
+	mark := markOf("e0")
+	x := &exchange{product: &b.products[0], tenant: 1}
+	within := b.rank(x)
+	for turn := range 20 {
+		b.Told(1, []byte{byte(mark >> 8), byte(mark), byte(turn + 1), 4, byte(Unclear), 0, 4, 0, 0, 4, 2})
+	}
+	near(t, within*0.05, b.rank(x))
+	b.Told(1, []byte{byte(mark >> 8), byte(mark), 30, 4, byte(Unclear), 0, 4, 0, 0, 4, 200}) // a tenant that is none
+	near(t, 20, b.admittedAll)
+}
