--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -32,7 +32,8 @@
 	id       logic.ExchangeID
 	product  logic.ProductID
 	tenant   logic.TenantID
-	cost     float64 // its work by its client's hint; 0 for none
+	key      logic.KeyID // what it is about, by its client's word; 0 for none
+	cost     float64     // its work by its client's hint; 0 for none
 	abandon  logic.Millis
 	wait     logic.Millis // from its last byte
 	coming   bool         // its last byte has not come
@@ -302,7 +303,7 @@
 	l.held.Add(1)
 	l.open[x.id] = x
 	l.set(alarm{at: x.abandon + l.grace, guard: x})
-	l.module.Arrive(x.id, x.product, x.tenant, x.abandon, x.cost, x.coming)
+	l.module.Arrive(x.id, x.product, x.tenant, x.key, x.abandon, x.cost, x.coming)
 }
 
 func (e departure) happen(l *loop) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -400,6 +400,7 @@
 	}
 	x = &exchange{
 		id: logic.ExchangeID(id[0]), product: product, tenant: s.names.Tenant([]byte(r.Header.Get("Tenant"))),
+		key:  terms.Key([]byte(figure(r.Header.Get("Request-Info"), "path-key"))),
 		cost: costHint(r.Header.Get("Request-Info")), abandon: s.loop.at(sent) + wait, wait: wait, answer: make(chan answer, 1), coming: rest != nil,
 		request: request{method: r.Method, class: class, head: head.Bytes(), body: body, rest: rest},
 	}
@@ -412,14 +413,20 @@
 
 // costHint finds the work in a request's further figures; what is no positive number is no hint.
 func costHint(info string) float64 {
+	if cost, err := strconv.ParseFloat(figure(info, "cost"), 64); err == nil && cost > 0 && !math.IsInf(cost, 0) {
+		return cost
+	}
+	return 0
+}
+
+// figure is the value of a request's further figure, "" if it has none of that name.
+func figure(info, wanted string) string {
 	for part := range strings.SplitSeq(info, ",") {
-		if name, value, _ := strings.Cut(strings.TrimSpace(part), "="); name == "cost" {
-			if cost, err := strconv.ParseFloat(value, 64); err == nil && cost > 0 && !math.IsInf(cost, 0) {
-				return cost
-			}
+		if name, value, _ := strings.Cut(strings.TrimSpace(part), "="); name == wanted {
+			return value
 		}
 	}
-	return 0
+	return ""
 }
 
 // product is named by class and path. It is taken for unknown, and so for single-use, unless the method agrees too: what is
--- a/internal/terms/check.go
+++ b/internal/terms/check.go
@@ -18,7 +18,10 @@
 	{[]string{"allowed", "max-retry-after"}, 0, math.MaxUint32}, {[]string{"allowed", "connect-timeout"}, 0, math.MaxUint32},
 	{[]string{"allowed", "idle-close"}, 0, math.MaxUint32}, {[]string{"guarantees", "ask-within"}, 0, math.MaxUint32},
 	{[]string{"guarantees", "cold"}, 0, math.MaxUint32}, {[]string{"guarantees", "fall"}, 0, math.MaxUint32},
-	{[]string{"guarantees", "cold-from"}, 0, 1}, {[]string{"guarantees", "fall-multiple"}, 0, 1e3},
+	{[]string{"guarantees", "look-back"}, 0, math.MaxUint32}, {[]string{"guarantees", "extra-free"}, 0, 1e9},
+	{[]string{"guarantees", "extra-ratio"}, 0, 1e3}, {[]string{"guarantees", "budget-error"}, 0, math.MaxUint32},
+	{[]string{"guarantees", "ready-margin"}, 0, math.MaxUint32}, {[]string{"allowed", "answer-buffers"}, 0, 1e9},
+	{[]string{"prices", "probe"}, 0, 1e3}, {[]string{"guarantees", "cold-from"}, 0, 1}, {[]string{"guarantees", "fall-multiple"}, 0, 1e3},
 }
 
 // perProduct and perTenant are the limits of each entry's figures.
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -35,6 +35,10 @@
 		AskWithin: Millis(rules, "ask-within"), Cold: Millis(rules, "cold"), Fall: Millis(rules, "fall"),
 		ColdFrom: rules.GetFloat64("cold-from"), FallMultiple: rules.GetFloat64("fall-multiple"),
 		CrossPrice: settings.GetFloat64("prices", "cross-zone"), Tick: Millis(settings, "tick"),
+		ExtraFree: rules.GetFloat64("extra-free"), ExtraRatio: rules.GetFloat64("extra-ratio"),
+		LookBack: Millis(rules, "look-back"), TimeOff: Millis(rules, "budget-error"), StartOff: Millis(rules, "ready-margin"),
+		Buffers: allowed.GetInt("answer-buffers"), WarmKeys: settings.GetBool("domain", "warm-keys"),
+		Probes: allowed.GetBool("probes"), ProbePrice: settings.GetFloat64("prices", "probe"),
 	}
 	if allowed.GetBool("retry-after") {
 		t.LongestAdvice = Millis(allowed, "max-retry-after")
@@ -57,6 +61,14 @@
 // Millis reads a time; absent and null are 0.
 func Millis(v *fastjson.Value, key string) logic.Millis { return logic.Millis(v.GetFloat64(key)) }
 
+// Key is 0 for no key.
+func Key(text []byte) logic.KeyID {
+	if len(text) == 0 {
+		return 0
+	}
+	return logic.KeyOf(text)
+}
+
 // Products are the settings' products by name.
 func (n *Names) Products() map[string]logic.ProductID { return n.products }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -133,7 +133,7 @@
 		i.members(string(v.GetStringBytes("scope")), h.lists[v.GetInt("ref")])
 	case "QUERY":
 		i.module.Arrive(logic.ExchangeID(v.GetStringBytes("ref")), i.terms.Product(v.GetStringBytes("service")),
-			i.terms.Tenant(v.GetStringBytes("customer")), terms.Millis(v, "deadline"), v.GetFloat64("cost"), false)
+			i.terms.Tenant(v.GetStringBytes("customer")), terms.Key(v.GetStringBytes("path-key")), terms.Millis(v, "deadline"), v.GetFloat64("cost"), false)
 	case "REPLY":
 		i.module.Ended(logic.ExchangeID(v.GetStringBytes("ref")), logic.LegNo(v.GetInt("try")),
 			outcomes[string(v.GetStringBytes("status"))], terms.Millis(v, "duration"), v.GetBool("closed"))
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -59,7 +59,7 @@
 // arrive hands in an exchange and returns where its leg went, "" if nowhere.
 func arrive(b *Balancer, r *record, x ExchangeID, p ProductID) EndpointID {
 	r.take()
-	b.Arrive(x, p, -1, b.now+4000, 0, false)
+	b.Arrive(x, p, -1, 0, b.now+4000, 0, false)
 	return sentTo(r)
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,6 +50,7 @@
 	paceGain, aloneRise            = 0.05, 0.1       // of a leg in its endpoint's pace; of that gain, upwards
 	awayFall                       = 300.0           // how the draw of other zones falls with the way's price
 	listBackoff, listBackMost      = 0.05, 0.25      // of ask-within: first and longest wait after a failure,
+	keyLean                        = 2.0             // of the load elsewhere, before a key leaves its first
 	listCrowd                      = 3.0             // and how much longer both are in a large fleet
 )
 
@@ -58,6 +59,7 @@
 	zone                ZoneID
 	cell                CellID
 	mark                uint16  // its name in messages
+	name                KeyID   // its hash
 	turn                byte    // of our last message
 	kin                 []kin   // with whom a pool shares it
 	size, work, others  float64 // as listed; legs of mean work: ours, and what others told of
@@ -107,7 +109,7 @@
 	tenants, admitted                                                         []float64 // shares; fading counts
 	overShare, fleet, coldFrom, awayOdds, coldRate, roomLeast, fade           float64
 	maxLegs, out                                                              int
-	copies, cancels, mustAsk, byWork, pool                                    bool
+	copies, cancels, mustAsk, byWork, pool, warmKeys                          bool
 	now, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting Millis
 
 	// The list. banned: out by hand; back: when that ended, for it counts as started then.
@@ -133,6 +135,7 @@
 	usualRank, rooms, sizes, strange, crowding     float64 // strange: draw of who is not familiar
 	others, cost, hints, alone, capacity           float64 // the pool's legs; mean hint; a leg's time alone
 	mostDoubt, crowded                             bool
+	extra                                          ration
 }
 
 func New(t Terms, out Outgoing, now Millis) *Balancer {
@@ -140,10 +143,11 @@
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
 		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel,
-		mustAsk: t.MustAsk, byWork: t.ByWork, strange: 1, pool: t.Peers && t.Fleet > 1, me: t.Me,
+		mustAsk: t.MustAsk, byWork: t.ByWork, warmKeys: t.WarmKeys, strange: 1, pool: t.Peers && t.Fleet > 1, me: t.Me,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
+		extra:   ration{free: t.ExtraFree, ratio: t.ExtraRatio, over: t.LookBack},
 		retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice, marks: map[uint16]*endpoint{},
 	}
 	b.roomLeast = math.Min(roomLeast/b.fleet, 1)
@@ -189,7 +193,7 @@
 func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
 	e := b.known[id]
 	if e == nil {
-		e = &endpoint{id: id, mark: markOf(id)}
+		e = &endpoint{id: id, mark: markOf(id), name: KeyOf([]byte(id))}
 		b.known[id], b.marks[e.mark], b.endpoints = e, e, append(b.endpoints, e)
 		b.renew(e)
 	} else if readyAt > e.readyAt {
@@ -345,9 +349,10 @@
 
 // Arrive takes an exchange; from here on it is owed one final answer. One whose request is still coming
 // gets no copy, and no further leg once Spent.
-func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, abandon Millis, cost float64, coming bool) {
+func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, k KeyID, abandon Millis, cost float64, coming bool) {
 	x := b.seat()
 	x.id, x.product, x.tenant, x.units, x.coming, x.spent = id, &b.unknown, t, 1, coming, false
+	x.key = k
 	if p >= 0 && int(p) < len(b.products) {
 		x.product = &b.products[p]
 	}
@@ -357,6 +362,7 @@
 		x.units = cost / b.cost
 	}
 	b.limit(x, abandon)
+	b.extra.taken.add(b.now, 1)
 	b.open[id] = x
 	if why := b.admits(x); why != Legged {
 		b.giveUp(x, why)
@@ -448,6 +454,8 @@
 	}
 	if len(x.legs) == 0 {
 		b.counts(x.tenant)
+	} else {
+		b.extra.further.add(b.now, 1)
 	}
 	// A leg gets all the time left: cutting it for a further leg wastes more work than it saves.
 	patience := max(x.horizon-b.now-b.slack, b.slack/2, 1)
@@ -513,6 +521,9 @@
 	l.ended, l.neverRan = true, o == Full || o == NoConnection || o == NotSent
 	x.out--
 	b.hush(l, true)
+	if o == NotSent && n > 0 {
+		b.extra.further.add(l.sent, -1)
+	}
 	if !l.streams || o != Satisfied && o != Cancelled {
 		b.account(x, l, o, float64(took))
 	}
@@ -606,7 +617,8 @@
 
 // gate holds every rule that a leg must keep.
 func (b *Balancer) gate(x *exchange, e *endpoint) bool {
-	if !e.running || len(x.legs) >= b.maxLegs || x.horizon <= b.now || x.spent && len(x.legs) > 0 {
+	if !e.running || len(x.legs) >= b.maxLegs || x.horizon <= b.now ||
+		len(x.legs) > 0 && (x.spent || !b.extra.allows(b.now)) {
 		return false
 	}
 	first := true
@@ -642,7 +654,7 @@
 
 // pick draws two by weight and takes the one with fewer legs. Doubtful ones have room because they fail.
 func (b *Balancer) pick(x *exchange) *endpoint {
-	total, fits := 0.0, b.fits(x)
+	total, fits, keyed := 0.0, b.fits(x), b.warmKeys && x.key != 0
 	b.rooms, b.others = 0, 0
 	for i, e := range b.ready {
 		part := b.capacityNow(e)
@@ -664,7 +676,7 @@
 		if e.zone != b.zone {
 			odds *= b.awayOdds
 		}
-		if !b.familiar(e) {
+		if !keyed && !b.familiar(e) {
 			if !b.isCold(e) { // tokens bound those, and who is never drawn never warms up
 				odds *= b.strange
 			}
@@ -683,10 +695,21 @@
 	if total <= 0 || !b.pool && float64(b.out+1) > math.Max(b.rooms*roomOver, legsFree)*(1+roomMore*calm) {
 		return nil
 	}
-	one := b.draw(total)
+	if keyed { // its key's hash draws in place of chance: all sidecars draw the same two
+		for i, e := range b.ready {
+			if b.odds[i] > 0 {
+				b.odds[i] = math.Pow(chanceOf(x.key, e), 1/b.odds[i])
+			}
+		}
+	}
+	one := b.draw(total, keyed)
 	if total -= b.odds[one]; total > 1e-9 {
 		b.odds[one] = 0
-		if two := b.draw(total); b.load(x, b.ready[two]) < b.load(x, b.ready[one]) {
+		lean := 1.0
+		if keyed {
+			lean = keyLean
+		}
+		if two := b.draw(total, keyed); b.odds[two] > 0 && lean*b.load(x, b.ready[two]) < b.load(x, b.ready[one]) {
 			one = two
 		}
 	}
@@ -700,7 +723,10 @@
 	return e.fine > e.lost && b.now-e.fine < b.lasting*familiarShare
 }
 
-func (b *Balancer) draw(total float64) int {
+func (b *Balancer) draw(total float64, most bool) int {
+	if most {
+		return slices.Index(b.odds, slices.Max(b.odds))
+	}
 	at, last := b.chance()*total, 0
 	for i, w := range b.odds {
 		if w > 0 && at >= 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -557,7 +557,7 @@
 		id := ids[n%3]
 		n++
 		b.At(b.now + 50)
-		b.Arrive(id, replayable, -1, b.now+4000, 0, false)
+		b.Arrive(id, replayable, -1, 0, b.now+4000, 0, false)
 		b.Ended(id, 0, Satisfied, 40, true)
 	}
 	for range 400 {
@@ -707,7 +707,7 @@
 		b, r := begin("ab")
 		p := &b.products[replayable]
 		p.Overdue, p.Abandon, p.best = c.overdue, 4000, 300
-		b.Arrive("x", replayable, -1, b.now+4000, 0, false)
+		b.Arrive("x", replayable, -1, 0, b.now+4000, 0, false)
 		assert.NotEmpty(t, sentTo(r))
 		b.weigh(b.open["x"], &b.open["x"].legs[0], Satisfied, float64(c.took))
 		assert.Equal(t, c.lost, b.lost > 0, "%+v", c)
@@ -870,7 +870,7 @@
 	assert.NotEqual(t, other, sentTo(r), "further leg")
 	b.Out(to)
 	r.take()
-	b.Arrive("y", replayable, -1, b.now+4000, 0, false)
+	b.Arrive("y", replayable, -1, 0, b.now+4000, 0, false)
 	assert.Equal(t, []string{"dismiss y"}, r.take("send", "dismiss"), "the only ones left are out: told at once")
 }
 
@@ -879,7 +879,7 @@
 	b, r := begin("ab")
 	serve(b, r, 40, 50)
 	r.take()
-	b.Arrive("up", replayable, -1, b.now+4000, 0, true)
+	b.Arrive("up", replayable, -1, 0, b.now+4000, 0, true)
 	to := sentTo(r)
 	assert.Zero(t, b.out+b.known[to].legs)
 	lost, long := b.lost, b.lostLong
@@ -912,7 +912,7 @@
 	for _, spent := range []bool{false, true} {
 		b, r := begin("ab")
 		r.take()
-		b.Arrive("x", singleUse, -1, b.now+4000, 0, true)
+		b.Arrive("x", singleUse, -1, 0, b.now+4000, 0, true)
 		if sentTo(r); spent {
 			b.Spent("x")
 		}
@@ -926,3 +926,72 @@
 		b.Whole("gone", 1)
 	}
 }
+
+// Guards against the budget of legs broken on all days of a deployment that states one: copies and other tries were
+// each bounded by a ratio of their own, over windows of their own.
+func TestRationOfFurtherLegs(t *testing.T) {
+	r := ration{free: 1, ratio: 0.5, over: 1000}
+	step := func(at Millis, taken float64) (went int) {
+		r.taken.add(at, taken)
+		for ; r.allows(at); went++ {
+			r.further.add(at, 1)
+		}
+		return went
+	}
+	for _, c := range []struct {
+		at    Millis
+		taken float64
+		want  int
+	}{
+		{100, 4, 3}, {200, 2, 1}, {1100, 0, 0}, {1101, 0, 1}, {1200, 0, 0}, {5000, 0, 1}, {5000, 2, 1}, {90000, 2, 2},
+	} {
+		assert.Equal(t, c.want, step(c.at, c.taken), "%v", c)
+	}
+	r.further.add(90000, -1) // one that was never sent
+	assert.True(t, r.allows(90000))
+	assert.LessOrEqual(t, len(r.taken.at)+len(r.further.at), 2, "what has left the window is forgotten")
+	assert.True(t, (&ration{}).allows(0), "not stated, not bounded")
+}
+
+func TestRationHoldsAtTheGate(t *testing.T) {
+	b, r := begin("abcdef")
+	b.extra, b.retries = ration{free: 2, over: 5000}, 100
+	further := 0
+	for n := range 10 {
+		x := ExchangeID(fmt.Sprint(n))
+		arrive(b, r, x, replayable)
+		for leg := LegNo(0); b.open[x] != nil && b.open[x].out > 0; leg++ {
+			b.Ended(x, leg, Errored, 10, false)
+			further += len(r.take("send"))
+		}
+	}
+	assert.Equal(t, 2, further)
+}
+
+// Guards against warm keys that went wherever chance had it: a fleet that remembers them was asked for half as much
+// again as it can do.
+func TestKeysDrawTheSameEndpoints(t *testing.T) {
+	homes := func(seed uint64, key KeyID) map[EndpointID]bool {
+		b, r := begin("abcdefgh")
+		b.warmKeys, b.dice = true, seed
+		got := map[EndpointID]bool{}
+		for n := range 20 {
+			x := ExchangeID(fmt.Sprint(n))
+			r.take()
+			b.Arrive(x, replayable, -1, key, b.now+4000, 0, false)
+			got[sentTo(r)] = true
+			b.Ended(x, 0, Satisfied, 10, true)
+		}
+		return got
+	}
+	all := map[EndpointID]bool{}
+	for key := KeyID(1); key < 40; key++ {
+		one := homes(1, key*0x9e3779b97f4a7c15)
+		assert.Len(t, one, 1, "an idle first endpoint keeps its key")
+		assert.Equal(t, one, homes(2, key*0x9e3779b97f4a7c15), "at each sidecar")
+		for e := range one {
+			all[e] = true
+		}
+	}
+	assert.Greater(t, len(all), 4)
+}
--- a/logic/pool_test.go
+++ b/logic/pool_test.go
@@ -51,7 +51,7 @@
 	for n := range 40 {
 		x := ExchangeID(fmt.Sprint(n))
 		ra.take()
-		a.Arrive(x, 0, -1, a.now+4000, 0, false)
+		a.Arrive(x, 0, -1, 0, a.now+4000, 0, false)
 		told := pass(t, ra, b)
 		assert.Equal(t, 1, told)
 		to := a.open[x].legs[0].to.id
@@ -120,7 +120,7 @@
 func answered(b *Balancer, n int, took Millis, cost float64) {
 	for i := range n {
 		x := ExchangeID(fmt.Sprintf("a%d-%d", b.samples, i))
-		b.Arrive(x, 0, -1, b.now+4000, cost, false)
+		b.Arrive(x, 0, -1, 0, b.now+4000, cost, false)
 		b.At(b.now + took)
 		b.Ended(x, 0, Satisfied, took, true)
 	}
@@ -194,13 +194,13 @@
 	for id, e := range a.known {
 		e.took, e.did, b.known[id].took, b.known[id].did = 50, 1, 50, 1
 	}
-	a.Arrive("heavy", 0, -1, a.now+4000, 100, false)
+	a.Arrive("heavy", 0, -1, 0, a.now+4000, 100, false)
 	to := a.open["heavy"].legs[0].to.id
 	pass(t, ra, b)
 	assert.Greater(t, b.known[to].others, 4.0)
 	for n := range 2 {
 		x := ExchangeID(fmt.Sprint("l", n))
-		b.Arrive(x, 0, -1, b.now+4000, 10, false)
+		b.Arrive(x, 0, -1, 0, b.now+4000, 10, false)
 		assert.NotEqual(t, to, b.open[x].legs[0].to.id)
 	}
 }
@@ -317,7 +317,7 @@
 				}
 			}
 			x := ExchangeID(fmt.Sprint("x", n))
-			b.Arrive(x, 0, -1, now+4000, 0, false)
+			b.Arrive(x, 0, -1, 0, now+4000, 0, false)
 			if b.open[x] != nil && len(b.open[x].legs) > 0 { // one core, in turn; a cold one takes longer
 				to, work := b.open[x].legs[0].to.id, took
 				if to == "cold" {
--- a/logic/slab.go
+++ b/logic/slab.go
@@ -1,6 +1,11 @@
 package logic
 
-import "math"
+import (
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // The places of exchanges, their timers, and chance. Nothing is decided here: a place keeps in next the step that does.
 
@@ -37,6 +42,7 @@
 	next          step
 	product       *product
 	tenant        TenantID
+	key           KeyID
 	units         float64 // of work, by its hint
 	horizon       Millis  // after it no answer is worth anything
 	legs          []leg
@@ -78,3 +84,60 @@
 	}
 	return -math.Log(p)
 }
+
+// ration counts legs beyond the first against the exchanges taken, within a window that slides.
+type ration struct {
+	free, ratio    float64
+	over           Millis // 0: not bounded
+	taken, further tally
+}
+
+// allows tells whether one more may go now. At the window's edges it counts against itself.
+func (r *ration) allows(now Millis) bool {
+	if r.over <= 0 {
+		return true
+	}
+	return r.further.since(now-r.over, true)+1 <= r.free+r.ratio*r.taken.since(now-r.over, false)
+}
+
+// tally is a sum of events by their times, oldest first.
+type tally struct {
+	at    []Millis
+	n     []float64
+	total float64
+}
+
+func (t *tally) add(at Millis, n float64) {
+	i, found := slices.BinarySearch(t.at, at)
+	if !found && n > 0 {
+		t.at, t.n = slices.Insert(t.at, i, at), slices.Insert(t.n, i, 0)
+		found = true
+	}
+	if found {
+		t.n[i], t.total = t.n[i]+n, t.total+n
+	}
+}
+
+// since forgets what is older, and what is just as old unless it counts still.
+func (t *tally) since(from Millis, still bool) float64 {
+	i, found := slices.BinarySearch(t.at, from)
+	if found && !still {
+		i++
+	}
+	for _, n := range t.n[:i] {
+		t.total -= n
+	}
+	t.at, t.n = slices.Delete(t.at, 0, i), slices.Delete(t.n, 0, i)
+	return t.total
+}
+
+// KeyOf is the hash by which all sidecars know a key or an endpoint alike; it is never 0.
+func KeyOf(text []byte) KeyID { return KeyID(max(xxhash.Sum64(text), 1)) }
+
+// chanceOf is a number from 0 to 1 exclusive, the same at every sidecar.
+func chanceOf(k KeyID, e *endpoint) float64 {
+	h := uint64(k) ^ uint64(e.name)
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return (float64(uint32(h>>32)) + 0.5) / (1 << 32)
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -12,7 +12,8 @@
 	TenantID   int // place in Terms.Tenants; anything outside is no tenant
 	LegNo      int // legs of one exchange count from 0
 	TimerID    uint64
-	PeerID     int // a sidecar's number in its fleet
+	PeerID     int    // a sidecar's number in its fleet
+	KeyID      uint64 // hash of what an exchange is about; 0 for nothing known
 )
 
 // Effect tells whether an exchange may run again. The zero value is the strictest.
@@ -100,8 +101,18 @@
 	ColdFrom, FallMultiple  float64
 	CrossPrice              float64
 	Tick                    Millis
+	ExtraFree, ExtraRatio   float64 // legs beyond each exchange's first: so many and so many for each exchange taken,
+	LookBack                Millis  // within this time; 0 where they are not bounded
+	WarmKeys                bool    // endpoints do less work for a key that they met lately
+	TimeOff, StartOff       Millis  // by which abandon times and starts told may be off, in either direction
+	Buffers                 int     // answers that can be held for clients which read them; 0 where not bounded
+	Probes                  bool    // endpoints may be asked for their load
+	ProbePrice              float64
 }
 
+// Load is what an endpoint says of itself. What it does not tell is below 0.
+type Load struct{ Held, Waiting, Busy float64 }
+
 // Outgoing is what the module asks of its surroundings. Calls take effect in order, at once.
 type Outgoing interface {
 	Send(x ExchangeID, to EndpointID, giveUpAfter Millis)
