--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,7 +50,9 @@
 	paceGain, aloneRise            = 0.05, 0.1       // of a leg in its endpoint's pace; of that gain, upwards
 	awayFall                       = 300.0           // how the draw of other zones falls with the way's price
 	listBackoff, listBackMost      = 0.05, 0.25      // of ask-within: first and longest wait after a failure,
-	keyLean                        = 2.0             // of the load elsewhere, before a key leaves its first
+	heatParts, heatLeast, keyWide  = 256, 20.0, 1.5  // counters of keys; samples; endpoints over a key's share
+	stuckLeast, stuckShare         = 2.0, 0.5        // lost legs of a key; their share, and more if others' are lost too
+	heatFade, keyAway              = 0.25, 30.0      // of the fade of outcomes; the draw of other zones, for keys
 	listCrowd                      = 3.0             // and how much longer both are in a large fleet
 )
 
@@ -92,6 +94,9 @@
 	ended, until Millis // last counted, and when a leg may try again
 }
 
+// tried is a fading count of outcomes.
+type tried struct{ good, bad float64 }
+
 type product struct {
 	Product
 	place                         int
@@ -107,8 +112,8 @@
 	products                                                                  []product
 	unknown                                                                   product
 	tenants, admitted                                                         []float64 // shares; fading counts
-	overShare, fleet, coldFrom, awayOdds, coldRate, roomLeast, fade           float64
-	maxLegs, out                                                              int
+	overShare, fleet, coldFrom, awayOdds, awayKeys, coldRate, roomLeast, fade float64
+	maxLegs, out, buffers                                                     int
 	copies, cancels, mustAsk, byWork, pool, warmKeys                          bool
 	now, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting Millis
 
@@ -136,14 +141,19 @@
 	others, cost, hints, alone, capacity           float64 // the pool's legs; mean hint; a leg's time alone
 	mostDoubt, crowded                             bool
 	extra                                          ration
+	heat                                           [heatParts]float64
+	silent                                         [heatParts]int       // exchanges with a leg that is out for too long
+	keys                                           [heatParts + 1]tried // by key; the last is of all
+	heatAll                                        float64
+	order                                          []int
 }
 
 func New(t Terms, out Outgoing, now Millis) *Balancer {
 	b := &Balancer{
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
-		awayOdds: 1 / (1 + awayFall*t.CrossPrice), copies: t.SecondCopies, cancels: t.MayCancel,
-		mustAsk: t.MustAsk, byWork: t.ByWork, warmKeys: t.WarmKeys, strange: 1, pool: t.Peers && t.Fleet > 1, me: t.Me,
+		awayOdds: 1 / (1 + awayFall*t.CrossPrice), awayKeys: 1 / (1 + math.Pow(keyAway*t.CrossPrice, 2)), copies: t.SecondCopies, cancels: t.MayCancel,
+		mustAsk: t.MustAsk, byWork: t.ByWork, warmKeys: t.WarmKeys, buffers: t.Buffers, strange: 1, pool: t.Peers && t.Fleet > 1, me: t.Me,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
@@ -352,7 +362,7 @@
 func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, k KeyID, abandon Millis, cost float64, coming bool) {
 	x := b.seat()
 	x.id, x.product, x.tenant, x.units, x.coming, x.spent = id, &b.unknown, t, 1, coming, false
-	x.key = k
+	x.key, x.over, x.silent = k, false, false
 	if p >= 0 && int(p) < len(b.products) {
 		x.product = &b.products[p]
 	}
@@ -363,6 +373,8 @@
 	}
 	b.limit(x, abandon)
 	b.extra.taken.add(b.now, 1)
+	b.heat[k%heatParts]++
+	b.heatAll++
 	b.open[id] = x
 	if why := b.admits(x); why != Legged {
 		b.giveUp(x, why)
@@ -415,6 +427,9 @@
 	rank := b.rank(x)
 	b.usualRank = cmp.Or(b.usualRank, rank)
 	b.usualRank += rankGain * (rank - b.usualRank)
+	if x.key != 0 && (b.silent[x.key%heatParts] > 0 || b.stuck(x) && b.draws(b.keys[x.key%heatParts]) < trustAt) {
+		return Shut
+	}
 	if b.now < b.shutUntil {
 		return Shut
 	}
@@ -565,6 +580,14 @@
 	}
 }
 
+// hold counts the exchanges of a key whose leg is silent: whatever they wait for, more of them would wait there too.
+func (b *Balancer) hold(x *exchange, on bool) {
+	if on != x.silent && (!on || x.key != 0 && !x.over) {
+		x.silent = on
+		b.silent[x.key%heatParts] += map[bool]int{true: 1, false: -1}[on]
+	}
+}
+
 func stepOver(b *Balancer, x *exchange, _ result) {
 	if x.out == 0 {
 		b.vacate(x)
@@ -572,6 +595,8 @@
 }
 
 func (b *Balancer) finish(x *exchange) {
+	b.hold(x, false)
+	x.over = true
 	b.cancelOthers(x, -1)
 	b.window[b.part].ended++
 	b.retries, x.next = math.Min(b.retries+retryEarn, retryMost), stepOver
@@ -663,7 +688,7 @@
 		if b.pool {
 			full = e.held() > 0 && b.time(x, e) > fits
 		}
-		if full || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
+		if full && !keyed || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
 			continue
 		}
 		if e.called {
@@ -673,7 +698,9 @@
 		if b.pool {
 			odds *= b.usual * e.did / e.took
 		}
-		if e.zone != b.zone {
+		if e.zone != b.zone && keyed {
+			odds *= b.awayKeys
+		} else if e.zone != b.zone {
 			odds *= b.awayOdds
 		}
 		if !keyed && !b.familiar(e) {
@@ -695,23 +722,9 @@
 	if total <= 0 || !b.pool && float64(b.out+1) > math.Max(b.rooms*roomOver, legsFree)*(1+roomMore*calm) {
 		return nil
 	}
-	if keyed { // its key's hash draws in place of chance: all sidecars draw the same two
-		for i, e := range b.ready {
-			if b.odds[i] > 0 {
-				b.odds[i] = math.Pow(chanceOf(x.key, e), 1/b.odds[i])
-			}
-		}
-	}
-	one := b.draw(total, keyed)
-	if total -= b.odds[one]; total > 1e-9 {
-		b.odds[one] = 0
-		lean := 1.0
-		if keyed {
-			lean = keyLean
-		}
-		if two := b.draw(total, keyed); b.odds[two] > 0 && lean*b.load(x, b.ready[two]) < b.load(x, b.ready[one]) {
-			one = two
-		}
+	one, two := b.two(x, total, keyed)
+	if two >= 0 && b.load(x, b.ready[two]) < b.load(x, b.ready[one]) {
+		one = two
 	}
 	return b.ready[one]
 }
@@ -723,10 +736,45 @@
 	return e.fine > e.lost && b.now-e.fine < b.lasting*familiarShare
 }
 
-func (b *Balancer) draw(total float64, most bool) int {
-	if most {
-		return slices.Index(b.odds, slices.Max(b.odds))
+// two draws two by weight, or one if there is no other. Where endpoints keep keys warm a key's hash draws in place of
+// chance, so that all sidecars draw alike, and chance only among as many as the key's share of our traffic fills.
+func (b *Balancer) two(x *exchange, total float64, keyed bool) (one, two int) {
+	if !keyed {
+		one = b.draw(total)
+		if total -= b.odds[one]; total <= 1e-9 {
+			return one, -1
+		}
+		b.odds[one] = 0
+		return one, b.draw(total)
+	}
+	for i, e := range b.ready {
+		if b.odds[i] > 0 {
+			b.odds[i] = math.Pow(chanceOf(x.key, e), 1/b.odds[i])
+		}
 	}
+	wide := 1 + int(keyWide*b.heatOf(x)*float64(len(b.ready)))
+	for b.order = b.order[:0]; len(b.order) <= wide; {
+		i := slices.Index(b.odds, slices.Max(b.odds))
+		if b.odds[i] <= 0 {
+			break
+		}
+		b.order, b.odds[i] = append(b.order, i), 0
+	}
+	n := min(wide, len(b.order))
+	at := int(b.chance() * float64(n))
+	one, two = b.order[at], -1
+	if others := len(b.order) - 1; others > 0 {
+		two = b.order[(at+1+int(b.chance()*float64(others)))%len(b.order)]
+	}
+	return one, two
+}
+
+// heatOf is the share of our traffic that is about an exchange's key, or about keys that fall in with it.
+func (b *Balancer) heatOf(x *exchange) float64 {
+	return math.Max(b.heat[x.key%heatParts]-1, 0) / (b.heatAll + heatLeast)
+}
+
+func (b *Balancer) draw(total float64) int {
 	at, last := b.chance()*total, 0
 	for i, w := range b.odds {
 		if w > 0 && at >= 0 {
@@ -767,8 +815,24 @@
 	if e.legs > 0 || x.product.Effect == SingleUse {
 		return false
 	}
-	good, bad := b.gamma(1+int(math.Min(e.good, 8))), b.gamma(1+int(math.Min(e.bad+0.5, 8)))
-	return good/(good+bad) > trustAt
+	return b.draws(tried{e.good, e.bad}) > trustAt
+}
+
+// draws is a draw from the posterior of a chance of success.
+func (b *Balancer) draws(r tried) float64 {
+	good, bad := b.gamma(1+int(math.Min(r.good, 8))), b.gamma(1+int(math.Min(r.bad+0.5, 8)))
+	return good / (good + bad)
+}
+
+// stuck tells that a key's exchanges fare badly wherever they go while others do not: they wait for something that
+// no endpoint can help, and blame none.
+func (b *Balancer) stuck(x *exchange) bool {
+	if x.key == 0 {
+		return false
+	}
+	k, all := b.keys[x.key%heatParts], b.keys[heatParts]
+	others := (all.bad - k.bad) / math.Max(all.good+all.bad-k.good-k.bad, 1)
+	return k.bad >= stuckLeast && k.bad > (stuckShare+(1-stuckShare)*others)*(k.good+k.bad)
 }
 
 // rests: it failed this product twice in a row, and is not tried again yet, if there is one that did not.
@@ -851,6 +915,9 @@
 		s.length, s.ended = s.length+1, b.now
 		s.until = b.now + b.lasting*Millis(restShare*math.Exp2(float64(min(s.length, restMost))))
 	}
+	if b.stuck(x) {
+		return
+	}
 	switch o {
 	case Satisfied:
 		e.weight = math.Min(e.weight+weightRise, weightMost)
@@ -891,6 +958,19 @@
 	expected, best := float64(x.product.Expected), x.product.best
 	limit := lateBest * (1 + lostOver*x.product.Overdue) * best
 	lost := o == Full || took > math.Min(math.Max(limit, lostLeast*expected), lostMost*expected)
+	if x.key != 0 && !l.lost && (lost || o == Satisfied || o == Errored) {
+		for _, k := range []*tried{&b.keys[x.key%heatParts], &b.keys[heatParts]} {
+			if lost || o == Errored {
+				k.bad++
+			} else {
+				k.good++
+			}
+		}
+		if b.stuck(x) {
+			l.lost = lost
+			return
+		}
+	}
 	if !l.lost && (lost || o == Satisfied) {
 		gain := math.Min(math.Max(1/(b.rate*float64(b.lasting)+0.01), lostGainLeast), lostGain)
 		b.lost, b.lostLong = b.lost*(1-gain), b.lostLong*(1-gain*lostLong)
@@ -961,6 +1041,14 @@
 	for t := range b.admitted {
 		b.admitted[t] *= b.fade
 	}
+	cool := math.Pow(b.fade, heatFade)
+	b.heatAll *= cool
+	for k := range b.heat {
+		b.heat[k] *= cool
+	}
+	for k := range b.keys {
+		b.keys[k].good, b.keys[k].bad = b.keys[k].good*b.fade, b.keys[k].bad*b.fade
+	}
 	for part := int(float64(b.now)/(copyWindow/windowParts)) % windowParts; b.part != part; {
 		b.part = (b.part + 1) % windowParts
 		b.window[b.part].copies, b.window[b.part].ended = 0, 0
@@ -996,16 +1084,27 @@
 		b.judge(e)
 	}
 	b.count()
+	held := 0
+	var first *exchange
 	for _, x := range b.places {
+		if x.silent {
+			if held++; first == nil || x.legs[0].sent < first.legs[0].sent {
+				first = x
+			}
+		}
 		for n := range x.legs {
 			if l := &x.legs[n]; !l.ended && !l.lost && !l.quiet {
 				took := float64(b.now - l.sent)
 				if b.weigh(x, l, Unclear, took); l.lost {
+					b.hold(x, true)
 					b.tell(x, &leg{to: l.to, ahead: l.ahead}, Unclear, took)
 				}
 			}
 		}
 	}
+	if b.buffers > 0 && held >= b.buffers { // whose client reads slowly holds what all others wait for
+		b.giveUp(first, Overlong)
+	}
 	b.report()
 	b.drain()
 }
--- a/logic/slab.go
+++ b/logic/slab.go
@@ -46,6 +46,7 @@
 	units         float64 // of work, by its hint
 	horizon       Millis  // after it no answer is worth anything
 	legs          []leg
+	silent, over  bool // a leg is out for too long; it has its answer
 	coming, spent bool // its request has not come whole; nor can it be sent again: what its leg took was not kept
 }
 
