--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -620,3 +620,6 @@
 	l.past[x.id] = true
 	l.pastNext = (l.pastNext + 1) % rememberedIDs
 }
+
+// Probe
+func (l *loop) Probe(e logic.EndpointID) {}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -3,6 +3,8 @@
 package terms
 
 import (
+	"slices"
+
 	"github.com/valyala/fastjson"
 
 	"github.com/lynxjunction/lynxjunction/logic"
@@ -38,7 +40,7 @@
 		ExtraFree: rules.GetFloat64("extra-free"), ExtraRatio: rules.GetFloat64("extra-ratio"),
 		LookBack: Millis(rules, "look-back"), TimeOff: Millis(rules, "budget-error"), StartOff: Millis(rules, "ready-margin"),
 		Buffers: allowed.GetInt("answer-buffers"), WarmKeys: settings.GetBool("domain", "warm-keys"),
-		Probes: allowed.GetBool("probes"), ProbePrice: settings.GetFloat64("prices", "probe"),
+		Probes: allowed.GetBool("probes"), Reports: Reports(settings), ProbePrice: settings.GetFloat64("prices", "probe"),
 	}
 	if allowed.GetBool("retry-after") {
 		t.LongestAdvice = Millis(allowed, "max-retry-after")
@@ -61,6 +63,23 @@
 // Millis reads a time; absent and null are 0.
 func Millis(v *fastjson.Value, key string) logic.Millis { return logic.Millis(v.GetFloat64(key)) }
 
+// Reports tells whether an endpoint that is probed says how many exchanges it holds.
+func Reports(settings *fastjson.Value) bool {
+	return string(settings.GetStringBytes("report", "how")) != "silent" && slices.ContainsFunc(settings.GetArray("report", "columns"),
+		func(c *fastjson.Value) bool { return string(c.GetStringBytes()) == "active" })
+}
+
+// Load reads a load report, whatever it holds; what it lacks is below 0.
+func Load(report *fastjson.Value) logic.Load {
+	l := logic.Load{Held: -1, Waiting: -1, Busy: -1}
+	for key, f := range map[string]*float64{"active": &l.Held, "waiting": &l.Waiting, "cpu": &l.Busy} {
+		if v := report.Get(key); v != nil && v.Type() == fastjson.TypeNumber {
+			*f = v.GetFloat64()
+		}
+	}
+	return l
+}
+
 // Key is 0 for no key.
 func Key(text []byte) logic.KeyID {
 	if len(text) == 0 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -141,6 +141,9 @@
 		i.module.Began(logic.ExchangeID(v.GetStringBytes("ref")), logic.LegNo(v.GetInt("try")))
 	case "CLIENT_GONE":
 		i.module.Left(logic.ExchangeID(v.GetStringBytes("ref")))
+	case "CHECKED":
+		i.module.Probed(logic.EndpointID(v.GetStringBytes("endpoint")), string(v.GetStringBytes("status")) == "GOOD",
+			terms.Millis(v, "duration"), terms.Load(v.Get("pressure")))
 	case "MEMO":
 		if text, err := hex.DecodeString(string(v.GetStringBytes("contents"))); err == nil {
 			i.module.Told(logic.PeerID(v.GetInt("origin-peer")), text)
@@ -264,6 +267,12 @@
 	i.write(o)
 }
 
+func (i *instance) Probe(e logic.EndpointID) {
+	o := i.action("TOUCH")
+	o.Set("endpoint", i.arena.NewString(string(e)))
+	i.write(o)
+}
+
 func (i *instance) Watch() {
 	o := i.action("WATCH")
 	o.Set("want", i.arena.NewTrue())
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -18,6 +18,7 @@
 func (r *record) Forfeit(x ExchangeID, _ Reason)             { r.add("forfeit %s", x) }
 func (r *record) Wake(after Millis, t TimerID)               { r.add("wake %d %.4f", t, after) }
 func (r *record) Tell(to PeerID, text []byte)                { r.add("tell %d %x", to, text) }
+func (r *record) Probe(e EndpointID)                         { r.add("probe %s", e) }
 func (r *record) Watch()                                     { r.add("watch") }
 func (r *record) Note(line string)                           { r.add("note %s", line) }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,37 +23,43 @@
 
 // Ours, as ratios to what the terms say or what is seen.
 const (
-	beatShare, memoryShare         = 0.2, 8.0        // of the shortest: upkeep; of the longest: evidence counts
-	lateShare, lateBest, lateLimit = 0.4, 1.8, 0.5   // of the expected time, or times the best mean, up to
-	lostOver, lostLeast, lostMost  = 3.0, 0.5, 0.9   // longer by a late answer's worth; of the expected time
-	lostGain, lostGainLeast        = 0.25, 0.02      // of a leg in the share of lost ones,
-	lostLong                       = 1.0 / 6         // of that gain for the longer share;
-	lostFade, lostLongFade         = 4.0, 16.0       // longest expected times in which both fade by themselves
-	shedAt, shedSpan               = 0.37, 0.25      // lost legs from which on, and until all is dismissed
-	shedWeight, shutShare          = 4.0, 0.25       // of the longer share; of the time between legs: door shut
-	rankGain, costGain             = 0.02, 0.005     // of an exchange in the mean rank, in the mean hint
-	familiarShare, familiarSpan    = 16.0, 0.5       // longest expected times: remembered; legs that find them
-	strangeShare, badShare         = 0.03, 0.02      // legs to strange endpoints; draw of those lately late
-	roomLeast, roomOver, legsFree  = 4.0, 1.3, 3.0   // of all sidecars at least; legs over rooms; at any size
-	roomMore, roomCalm             = 3.0, 4.0        // times more than that while none is lost; how it shrinks
-	roomUse, roomRise, roomFall    = 0.33, 0.02, 0.8 // rooms in use, or none grows; its growth; what is left
-	usualAtStart, usualMemory      = 0.25, 30000.0   // of the shortest; milliseconds of a product's usual time
-	doubtAt, trustAt               = 0.25, 0.8       // share of bad outcomes; draw that gives a trial
-	coldMargin, calledBy           = 0.65, 3.0       // of the fall multiple; fall times for the first leg back
-	retryEarn, retryMost           = 0.15, 12.0      // further legs that an exchange's end earns; most held
-	restShare, restMost            = 0.25, 7         // of the longest expected time, doubled so many times
-	failGain, rememberShare        = 0.05, 0.8       // of a leg in its product's share; of a group's memory
-	queueShare, queueOthers        = 0.12, 0.25      // of the time left; of others' legs, which make room too
-	shareSlack, lostCopies         = 1.1, 0.3        // on a tenant's share; lost legs that are all's trouble
-	poolSize, poolLeast            = 8, 4            // sharers of an endpoint; endpoints that one has at least
-	fitShare, fitMost, fitRank     = 0.45, 4.0, 0.5  // of the time left; times of a leg alone; by worth
-	paceGain, aloneRise            = 0.05, 0.1       // of a leg in its endpoint's pace; of that gain, upwards
-	awayFall                       = 300.0           // how the draw of other zones falls with the way's price
-	listBackoff, listBackMost      = 0.05, 0.25      // of ask-within: first and longest wait after a failure,
-	heatParts, heatLeast, keyWide  = 256, 20.0, 1.5  // counters of keys; samples; endpoints over a key's share
-	stuckLeast, stuckShare         = 2.0, 0.5        // lost legs of a key; their share, and more if others' are lost too
-	heatFade, keyAway              = 0.25, 30.0      // of the fade of outcomes; the draw of other zones, for keys
-	listCrowd                      = 3.0             // and how much longer both are in a large fleet
+	beatShare, memoryShare         = 0.2, 8.0         // of the shortest: upkeep; of the longest: evidence counts
+	lateShare, lateBest, lateLimit = 0.4, 1.8, 0.5    // of the expected time, or times the best mean, up to
+	lostOver, lostLeast, lostMost  = 3.0, 0.5, 0.9    // longer by a late answer's worth; of the expected time
+	lostGain, lostGainLeast        = 0.25, 0.02       // of a leg in the share of lost ones,
+	lostLong                       = 1.0 / 6          // of that gain for the longer share;
+	lostFade, lostLongFade         = 4.0, 16.0        // longest expected times in which both fade by themselves
+	shedAt, shedSpan               = 0.37, 0.25       // lost legs from which on, and until all is dismissed
+	shedWeight, shutShare          = 4.0, 0.25        // of the longer share; of the time between legs: door shut
+	rankGain, costGain             = 0.02, 0.005      // of an exchange in the mean rank, in the mean hint
+	familiarShare, familiarSpan    = 16.0, 0.5        // longest expected times: remembered; legs that find them
+	strangeShare, badShare         = 0.03, 0.02       // legs to strange endpoints; draw of those lately late
+	roomLeast, roomOver, legsFree  = 4.0, 1.3, 3.0    // of all sidecars at least; legs over rooms; at any size
+	roomMore, roomCalm             = 3.0, 4.0         // times more than that while none is lost; how it shrinks
+	roomUse, roomRise, roomFall    = 0.33, 0.02, 0.8  // rooms in use, or none grows; its growth; what is left
+	usualAtStart, usualMemory      = 0.25, 30000.0    // of the shortest; milliseconds of a product's usual time
+	doubtAt, trustAt               = 0.25, 0.8        // share of bad outcomes; draw that gives a trial
+	coldMargin, calledBy           = 0.65, 3.0        // of the fall multiple; fall times for the first leg back
+	retryEarn, retryMost           = 0.15, 12.0       // further legs that an exchange's end earns; most held
+	restShare, restMost            = 0.25, 7          // of the longest expected time, doubled so many times
+	failGain, rememberShare        = 0.05, 0.8        // of a leg in its product's share; of a group's memory
+	queueShare, queueOthers        = 0.12, 0.25       // of the time left; of others' legs, which make room too
+	shareSlack, lostCopies         = 1.1, 0.3         // on a tenant's share; lost legs that are all's trouble
+	poolSize, poolLeast            = 8, 4             // sharers of an endpoint; endpoints that one has at least
+	fitShare, fitMost, fitRank     = 0.45, 4.0, 0.5   // of the time left; times of a leg alone; by worth
+	paceGain, aloneRise            = 0.05, 0.1        // of a leg in its endpoint's pace; of that gain, upwards
+	awayFall                       = 300.0            // how the draw of other zones falls with the way's price
+	listBackoff, listBackMost      = 0.05, 0.25       // of ask-within: first and longest wait after a failure,
+	heatParts, heatLeast, keyWide  = 256, 20.0, 1.5   // counters of keys; samples; endpoints over a key's share
+	stuckLeast, stuckShare         = 2.0, 0.5         // lost legs of a key; their share, and more if others' are lost too
+	askBelow, askShare, askPrice   = 0.25, 0.15, 0.01 // own legs an endpoint; of the time left; priced so at the most
+	askWorth, silentLoad           = 0.008, 1000.0    // points asking may cost; of who said nothing
+	testsFirst, testsLater         = 20.0, 0.005      // of reports' age, at start; chance of one more, a beat
+	testGain, freshLeast           = 0.05, 0.35       // of a test; share of changed ones, or none is asked
+	askFit                         = 0.5              // of the time left, for what an endpoint says it holds
+	leftFall                       = 0.005            // of an exchange in the time its product usually has left, downwards
+	heatFade, keyAway              = 0.25, 30.0       // of the fade of outcomes; the draw of other zones, for keys
+	listCrowd                      = 3.0              // and how much longer both are in a large fleet
 )
 
 type endpoint struct {
@@ -67,8 +73,11 @@
 	size, work, others  float64 // as listed; legs of mean work: ours, and what others told of
 	readyAt, changed    Millis  // changed: last change of doubt
 	up, listed, running bool    // up: by the list's word; running: and not out by hand
-	told, called        bool    // staff know that it is doubtful; back by hand, no leg since
+	noted, called       bool    // staff know that it is doubtful; back by hand, no leg since
 	legs                int
+	asked               bool    // it was asked for its load,
+	told                Millis  // told it last then,
+	said                float64 // so many exchanges held, by everyone
 	seen
 }
 
@@ -101,21 +110,21 @@
 	Product
 	place                         int
 	usual, best, failing, answers float64 // mean time, of late and least; failing share
-	usualAt                       Millis
+	usualAt, left                 Millis  // left: the time its exchanges usually have
 }
 
 type Balancer struct {
 	Outgoing
-	dice                                                                      uint64
-	zone                                                                      ZoneID
-	me                                                                        PeerID
-	products                                                                  []product
-	unknown                                                                   product
-	tenants, admitted                                                         []float64 // shares; fading counts
-	overShare, fleet, coldFrom, awayOdds, awayKeys, coldRate, roomLeast, fade float64
-	maxLegs, out, buffers                                                     int
-	copies, cancels, mustAsk, byWork, pool, warmKeys                          bool
-	now, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting Millis
+	dice                                                                                         uint64
+	zone                                                                                         ZoneID
+	me                                                                                           PeerID
+	products                                                                                     []product
+	unknown                                                                                      product
+	tenants, admitted                                                                            []float64 // shares; fading counts
+	overShare, fleet, coldFrom, awayOdds, awayKeys, coldRate, roomLeast, fade                    float64
+	maxLegs, out, buffers, askMany                                                               int
+	copies, cancels, mustAsk, byWork, pool, warmKeys                                             bool
+	now, timeOff, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting, startOff Millis
 
 	// The list. banned: out by hand; back: when that ended, for it counts as started then.
 	endpoints, ready []*endpoint
@@ -131,21 +140,26 @@
 	theirs              exchange
 	theirLeg            leg
 
-	recent, sorted                                 [recentLength]float64 // latencies of satisfied legs
-	samples, timerAt, part                         int
-	timer, ratioAt, shutUntil                      Millis
-	window                                         [windowParts]struct{ copies, ended float64 }
-	ratio, retries, usual, sent, rate, admittedAll float64
-	lost, lostLong                                 float64 // shares of lost legs, of late and for longer
-	usualRank, rooms, sizes, strange, crowding     float64 // strange: draw of who is not familiar
-	others, cost, hints, alone, capacity           float64 // the pool's legs; mean hint; a leg's time alone
-	mostDoubt, crowded                             bool
-	extra                                          ration
-	heat                                           [heatParts]float64
-	silent                                         [heatParts]int       // exchanges with a leg that is out for too long
-	keys                                           [heatParts + 1]tried // by key; the last is of all
-	heatAll                                        float64
-	order                                          []int
+	recent, sorted                                  [recentLength]float64 // latencies of satisfied legs
+	samples, timerAt, part                          int
+	timer, ratioAt, shutUntil                       Millis
+	window                                          [windowParts]struct{ copies, ended float64 }
+	ratio, retries, usual, sent, rate, admittedAll  float64
+	lost, lostLong                                  float64 // shares of lost legs, of late and for longer
+	usualRank, rooms, sizes, strange, crowding      float64 // strange: draw of who is not familiar
+	others, cost, hints, alone, capacity, took, did float64 // the pool's legs; mean hint; a leg's time alone
+	mostDoubt, crowded                              bool
+	extra                                           ration
+	asks                                            bool
+	asking                                          []*exchange
+	tested                                          *endpoint
+	first                                           Load
+	tests, fresh                                    float64
+	heat                                            [heatParts]float64
+	silent                                          [heatParts]int       // exchanges with a leg that is out for too long
+	keys                                            [heatParts + 1]tried // by key; the last is of all
+	heatAll                                         float64
+	order                                           []int
 }
 
 func New(t Terms, out Outgoing, now Millis) *Balancer {
@@ -153,7 +167,9 @@
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
 		awayOdds: 1 / (1 + awayFall*t.CrossPrice), awayKeys: 1 / (1 + math.Pow(keyAway*t.CrossPrice, 2)), copies: t.SecondCopies, cancels: t.MayCancel,
-		mustAsk: t.MustAsk, byWork: t.ByWork, warmKeys: t.WarmKeys, buffers: t.Buffers, strange: 1, pool: t.Peers && t.Fleet > 1, me: t.Me,
+		mustAsk: t.MustAsk, byWork: t.ByWork, warmKeys: t.WarmKeys, buffers: t.Buffers, timeOff: t.TimeOff, startOff: t.StartOff,
+		asks:    t.Probes && t.Reports && !t.Peers && t.ProbePrice <= askPrice,
+		askMany: max(2, int(askWorth/math.Max(t.ProbePrice, askWorth/4))), strange: 1, pool: t.Peers && t.Fleet > 1, me: t.Me,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
@@ -181,7 +197,7 @@
 	b.unknown = product{Product: Product{Value: 1, Overdue: 1, Expected: longest}, usualAt: now,
 		place: len(t.Products), usual: float64(longest) * usualAtStart}
 	b.beat, b.usual, b.lasting = shortest*beatShare, float64(shortest)*usualAtStart, longest
-	b.alone, b.capacity = b.usual, 1/b.usual
+	b.alone, b.capacity, b.took, b.did = b.usual, 1/b.usual, b.usual, 1
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
 	b.Wake(b.beat, 0)
 	if b.mustAsk && t.Knows && b.fleet > roomLeast {
@@ -201,6 +217,9 @@
 }
 
 func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
+	if readyAt > 0 { // told too early or too late: it is cold for longer
+		readyAt += b.startOff
+	}
 	e := b.known[id]
 	if e == nil {
 		e = &endpoint{id: id, mark: markOf(id), name: KeyOf([]byte(id))}
@@ -362,7 +381,7 @@
 func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, k KeyID, abandon Millis, cost float64, coming bool) {
 	x := b.seat()
 	x.id, x.product, x.tenant, x.units, x.coming, x.spent = id, &b.unknown, t, 1, coming, false
-	x.key, x.over, x.silent = k, false, false
+	x.key, x.over, x.silent, x.asked = k, false, false, 0
 	if p >= 0 && int(p) < len(b.products) {
 		x.product = &b.products[p]
 	}
@@ -376,7 +395,7 @@
 	b.heat[k%heatParts]++
 	b.heatAll++
 	b.open[id] = x
-	if why := b.admits(x); why != Legged {
+	if why := b.admits(x, b.blind()); why != Legged {
 		b.giveUp(x, why)
 	} else {
 		b.route(x)
@@ -404,8 +423,14 @@
 }
 
 func (b *Balancer) limit(x *exchange, abandon Millis) {
-	if x.horizon = abandon; x.product.Overdue <= 0 && x.product.Expected > 0 {
-		x.horizon = min(abandon, b.now+x.product.Expected)
+	p := x.product
+	if b.timeOff > 0 {
+		told := abandon - b.now
+		p.left = max(p.left-(p.left-told)*leftFall, told)
+		abandon = b.now + min(max(p.left, told-b.timeOff), told+b.timeOff)
+	}
+	if x.horizon, x.abandon = abandon, abandon; p.Overdue <= 0 && p.Expected > 0 {
+		x.horizon = min(abandon, b.now+p.Expected)
 	}
 }
 
@@ -423,13 +448,16 @@
 
 // admits, unless it has a reason not to, sheds by the share of lost legs, the less worthy first. Who asks
 // again at once finds the door shut.
-func (b *Balancer) admits(x *exchange) Reason {
+func (b *Balancer) admits(x *exchange, later bool) Reason {
 	rank := b.rank(x)
 	b.usualRank = cmp.Or(b.usualRank, rank)
 	b.usualRank += rankGain * (rank - b.usualRank)
 	if x.key != 0 && (b.silent[x.key%heatParts] > 0 || b.stuck(x) && b.draws(b.keys[x.key%heatParts]) < trustAt) {
 		return Shut
 	}
+	if later {
+		return Legged // by what the endpoints say
+	}
 	if b.now < b.shutUntil {
 		return Shut
 	}
@@ -448,14 +476,143 @@
 
 func (b *Balancer) route(x *exchange) {
 	if len(b.queue) == 0 {
-		if e := b.pick(x); e != nil {
-			b.send(x, e)
+		if one, two := b.pair(x); two != nil && b.blind() {
+			b.ask(x, one, two)
+			return
+		} else if one != nil {
+			b.choose(x, one, two)
 			return
 		}
 	}
 	b.lineUp(x)
 }
 
+// blind: own legs are too few to tell what endpoints hold, but they may be asked.
+func (b *Balancer) blind() bool {
+	return b.asks && b.tests >= testsFirst/2 && b.fresh > freshLeast && b.rate*b.usual < askBelow*float64(len(b.ready))
+}
+
+func (b *Balancer) choose(x *exchange, one, two *endpoint) {
+	if two != nil && b.load(x, two) < b.load(x, one) {
+		one = two
+	}
+	if !b.send(x, one) {
+		b.lineUp(x)
+	}
+}
+
+// ask has a few endpoints tell their load first: who sends little knows nothing of what others have sent there.
+func (b *Balancer) ask(x *exchange, one, two *endpoint) {
+	x.asked, x.few, x.next = b.now, append(x.few[:0], one, two), stepAsking
+	for i, e := range b.ready {
+		if e == two {
+			b.odds[i] = 0
+		}
+	}
+	for left := sum(b.odds); len(x.few) < b.askMany && left > 1e-9; left = sum(b.odds) {
+		i := b.draw(left)
+		b.odds[i], x.few = 0, append(x.few, b.ready[i])
+	}
+	for _, e := range x.few {
+		if !e.asked {
+			e.asked = true
+			b.Probe(e.id)
+		}
+	}
+	b.asking = append(b.asking, x)
+	b.wakeFor(x, max(Millis(askShare*float64(x.horizon-b.now)), b.slack), waitOver)
+}
+
+func sum(of []float64) (total float64) {
+	for _, f := range of {
+		total += f
+	}
+	return total
+}
+
+// Probed takes what an endpoint said of its load, or that it said nothing. Whoever is silent is not taken.
+func (b *Balancer) Probed(id EndpointID, ok bool, _ Millis, l Load) {
+	e := b.known[id]
+	if e == nil {
+		return
+	}
+	if e == b.tested && !ok {
+		b.tested = nil
+	}
+	if e.asked = false; ok {
+		e.told, e.said = b.now, math.Max(l.Held, 0)
+		b.compare(e, l)
+	}
+	for _, x := range slices.Clone(b.asking) {
+		if ok && slices.Contains(x.few, e) {
+			if !slices.ContainsFunc(x.few, func(e *endpoint) bool { return e.told < x.asked }) {
+				b.settle(x)
+			} else {
+				b.wakeFor(x, b.now-x.asked+b.slack, waitOver)
+			}
+		}
+	}
+}
+
+// says tells whether an endpoint holds more than would let an exchange be answered soon, or is silent.
+func (b *Balancer) says(x *exchange, e *endpoint) bool {
+	return e.told < x.asked || (e.said+1)*b.took/b.did > askFit*float64(x.horizon-b.now)
+}
+
+// test asks an endpoint twice, a beat apart: reports that hardly ever change between are too old to go by.
+func (b *Balancer) test() {
+	if !b.asks || len(b.ready) == 0 || b.chance() > testsLater &&
+		(b.tests >= testsFirst || b.tests >= testsFirst/3 && b.fresh < freshLeast/2) {
+		return
+	}
+	if b.tested == nil {
+		b.tested, b.first = b.ready[int(b.chance()*float64(len(b.ready)))], Load{Held: -2}
+	}
+	b.Probe(b.tested.id)
+}
+
+func (b *Balancer) compare(e *endpoint, l Load) {
+	switch {
+	case e != b.tested:
+	case b.first.Held == -2:
+		b.first = l
+	default:
+		changed := 0.0
+		if l != b.first {
+			changed = 1
+		}
+		b.tested, b.tests = nil, b.tests+1
+		b.fresh += math.Max(1/b.tests, testGain) * (changed - b.fresh)
+	}
+}
+
+func stepAsking(b *Balancer, x *exchange, r result) {
+	switch r.what {
+	case waitOver:
+		b.settle(x)
+	case clientLeft:
+		b.answerless(x)
+		b.finish(x)
+	}
+}
+
+func (b *Balancer) answerless(x *exchange) {
+	b.asking = slices.DeleteFunc(b.asking, func(o *exchange) bool { return o == x })
+}
+
+// settle takes the one of those that answered which holds the least.
+func (b *Balancer) settle(x *exchange) {
+	b.answerless(x)
+	e := slices.MinFunc(x.few, func(p, q *endpoint) int { return cmp.Compare(b.load(x, p), b.load(x, q)) })
+	if len(x.legs) == 0 && b.says(x, e) {
+		if why := b.admits(x, false); why != Legged {
+			b.giveUp(x, why)
+			return
+		}
+	}
+	b.choose(x, e, nil)
+}
+
 // send is the only place a leg leaves from; it passes the gate or does not go.
 func (b *Balancer) send(x *exchange, e *endpoint) bool {
 	if !b.gate(x, e) {
@@ -472,13 +629,22 @@
 	} else {
 		b.extra.further.add(b.now, 1)
 	}
-	// A leg gets all the time left: cutting it for a further leg wastes more work than it saves.
+	// A leg gets all the time left: cutting it for a further leg wastes more work than it saves. Where clocks
+	// differ it gets its client's too: an endpoint whose clock is ahead ends what has too little by its own.
 	patience := max(x.horizon-b.now-b.slack, b.slack/2, 1)
+	if b.timeOff > 0 {
+		patience = max(x.abandon-b.now, b.slack/2, 1)
+		if x.horizon < x.abandon && len(x.legs) == 0 {
+			b.wakeFor(x, max(x.horizon-b.now-b.slack, 1), timeOver)
+		}
+	}
 	x.legs = append(x.legs, leg{to: e, sent: b.now, units: x.units, quiet: true})
 	l := &x.legs[len(x.legs)-1]
 	x.out, b.sent, x.next = x.out+1, b.sent+1, stepRunning
 	b.hush(l, x.coming)
-	l.ahead = e.held()
+	if l.ahead = e.held(); x.asked > 0 && e.told >= x.asked {
+		l.ahead = e.said + 1
+	}
 	b.tell(x, l, Unclear, 0)
 	b.Send(x.id, e.id, patience)
 	if b.copies && len(x.legs) == 1 && b.samples >= copyFloor && b.timer < x.horizon-b.now {
@@ -552,6 +718,8 @@
 		b.finish(x)
 	case r.what == streamBegan:
 		x.next = stepStreaming
+	case r.what == timeOver:
+		b.giveUp(x, Legged)
 	case r.what == copyDue:
 		b.copy(x)
 	case r.what != legEnded || x.out > 0:
@@ -677,8 +845,17 @@
 
 func (b *Balancer) effort(x *exchange) float64 { return x.product.usual / b.usual }
 
-// pick draws two by weight and takes the one with fewer legs. Doubtful ones have room because they fail.
+// pick draws two by weight and takes the one with fewer legs.
 func (b *Balancer) pick(x *exchange) *endpoint {
+	one, two := b.pair(x)
+	if two != nil && b.load(x, two) < b.load(x, one) {
+		return two
+	}
+	return one
+}
+
+// pair draws them, or as many as there are. Doubtful ones have room because they fail.
+func (b *Balancer) pair(x *exchange) (one, two *endpoint) {
 	total, fits, keyed := 0.0, b.fits(x), b.warmKeys && x.key != 0
 	b.rooms, b.others = 0, 0
 	for i, e := range b.ready {
@@ -692,7 +869,7 @@
 			continue
 		}
 		if e.called {
-			return e // its first leg since it is back: a light sidecar would not draw it for long
+			return e, nil // its first leg since it is back: a light sidecar would not draw it for long
 		}
 		odds := e.weight * e.size * part
 		if b.pool {
@@ -720,13 +897,13 @@
 	// A large fleet's many small rooms must not add up to a crowd. Where none shows, a heavy sidecar needs more.
 	calm := math.Max(1-roomCalm*(b.lost+b.lostLong), 0)
 	if total <= 0 || !b.pool && float64(b.out+1) > math.Max(b.rooms*roomOver, legsFree)*(1+roomMore*calm) {
-		return nil
+		return nil, nil
 	}
-	one, two := b.two(x, total, keyed)
-	if two >= 0 && b.load(x, b.ready[two]) < b.load(x, b.ready[one]) {
-		one = two
+	first, second := b.two(x, total, keyed)
+	if second >= 0 {
+		two = b.ready[second]
 	}
-	return b.ready[one]
+	return b.ready[first], two
 }
 
 func (e *endpoint) held() float64 { return e.work + e.others }
@@ -798,6 +975,11 @@
 // load is the design's count of legs in flight; in a pool, where all are known, by the time they take there.
 func (b *Balancer) load(x *exchange, e *endpoint) float64 {
 	l := e.held() + 1
+	if e.told >= x.asked && x.asked > 0 {
+		l = (e.said + 1) / e.size
+	} else if x.asked > 0 {
+		l += silentLoad
+	}
 	if b.pool {
 		l = b.time(x, e)
 	}
@@ -904,6 +1086,8 @@
 	if took > 0 && (o == Satisfied || o == TimedOut || o == Cancelled) { // through the origin
 		e.took += paceGain * (took*l.ahead - e.took)
 		e.did += paceGain * (l.ahead*l.ahead - e.did)
+		b.took += paceGain * (took*l.ahead - b.took)
+		b.did += paceGain * (l.ahead*l.ahead - b.did)
 		if l.ahead > 0.5 && l.ahead <= 1 {
 			off := took/l.ahead - b.alone // all may be slow: what they need at their best rises slowly
 			b.alone += paceGain * math.Min(off, off*aloneRise)
@@ -1034,6 +1218,7 @@
 
 func (b *Balancer) pulse() {
 	b.Wake(b.beat, 0)
+	b.test()
 	b.rate += (1 - math.Exp(-float64(b.beat)/2000)) * (b.sent/float64(b.beat) - b.rate)
 	b.sent, b.admittedAll = 0, b.admittedAll*b.fade
 	b.lost -= b.lost * float64(b.beat/b.lasting) / lostFade // a shut sidecar hears nothing: it opens by itself
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -312,7 +312,7 @@
 		for range 100 {
 			for _, p := range []ProductID{replayable, referenced} {
 				b.shutUntil = 0
-				if b.admits(&exchange{product: &b.products[p], tenant: -1}) == Legged {
+				if b.admits(&exchange{product: &b.products[p], tenant: -1}, false) == Legged {
 					got[p]++
 				}
 			}
@@ -575,6 +575,7 @@
 func (nowhere) Wake(Millis, TimerID)                {}
 func (nowhere) Tell(PeerID, []byte)                 {}
 func (nowhere) Watch()                              {}
+func (nowhere) Probe(EndpointID)                    {}
 func (nowhere) Note(string)                         {}
 
 // A product that fails at all endpoints alike must not shut them, one after the other, for the products that don't.
@@ -968,12 +969,146 @@
 	assert.Equal(t, 2, further)
 }
 
+// Guards against the hottest of the keys that crowded their two endpoints: one in eight exchanges was about it.
+func TestHotKeysGetEndpointsByTheirShare(t *testing.T) {
+	for share, want := range map[float64]int{0.001: 1, 0.2: 3, 0.5: 7} {
+		b, r := begin("abcdefgh")
+		b.warmKeys, b.heatAll = true, 1e6
+		b.heat[77] = share * 1e6
+		got := map[EndpointID]bool{}
+		for n := range 200 {
+			x := ExchangeID(fmt.Sprint(n))
+			r.take()
+			b.Arrive(x, replayable, -1, 77, b.now+4000, 0, false)
+			got[sentTo(r)] = true
+			b.Ended(x, 0, Satisfied, 10, true)
+		}
+		assert.Len(t, got, want)
+	}
+}
+
+// asking starts an instance that has found reports fresh, and hands in one exchange.
+func asking() (*Balancer, *record, []string) {
+	b, r := begin("abcdefgh")
+	b.asks, b.askMany, b.tests, b.fresh = true, 3, testsFirst, 1
+	r.take()
+	b.Arrive("x", replayable, -1, 0, b.now+4000, 0, false)
+	few := r.take("probe")
+	for n := range few {
+		few[n] = strings.TrimPrefix(few[n], "probe ")
+	}
+	return b, r, few
+}
+
+// Guards against light sidecars that choose blindly: with less than an exchange a second each, none knows the others'.
+func TestAskedEndpointsAreTakenByWhatTheySay(t *testing.T) {
+	b, r, few := asking()
+	assert.Len(t, few, 3)
+	for n, id := range few {
+		assert.Empty(t, sentTo(r))
+		b.Probed(EndpointID(id), true, 1, Load{Held: float64(3 - n)})
+	}
+	assert.Equal(t, EndpointID(few[2]), sentTo(r), "it holds the least")
+
+	b, r, few = asking() // two stand still
+	b.Probed(EndpointID(few[1]), true, 1, Load{Held: 9})
+	b.Alarm(TimerID(b.open["x"].turn)<<8 | TimerID(waitOver)<<4 | 2)
+	assert.Equal(t, EndpointID(few[1]), sentTo(r), "it answers at least")
+
+	b, r, few = asking() // all do
+	b.Alarm(TimerID(b.open["x"].turn)<<8 | TimerID(waitOver)<<4 | 2)
+	assert.Contains(t, few, string(sentTo(r)), "or dismissed, but never kept")
+
+	b, r, _ = asking()
+	b.Left("x")
+	assert.Empty(t, b.asking)
+	assert.Empty(t, b.open)
+}
+
+// Guards against reports that are a second old, by which all who ask meet at the same endpoints.
+func TestOldReportsAreNotAskedFor(t *testing.T) {
+	for _, changes := range []bool{false, true} {
+		b, r := begin("abcdefgh")
+		b.asks, b.askMany = true, 2
+		load := Load{}
+		for range 100 {
+			b.At(b.now + b.beat)
+			b.Alarm(0)
+			for _, l := range r.take("probe") {
+				if load.Busy++; !changes {
+					load.Busy = 1
+				}
+				b.Probed(EndpointID(strings.TrimPrefix(l, "probe ")), true, 1, load)
+			}
+		}
+		assert.Equal(t, changes, b.blind())
+	}
+}
+
+// Guards against exchanges given up because their sidecar's clock ran ahead: told 800 ms less than they had.
+func TestTimeLeftIsWhatAProductUsuallyHas(t *testing.T) {
+	for _, c := range []struct{ off, told, want Millis }{
+		{0, -100, -100}, {800, 4000, 4000}, {800, 3300, 4000}, {800, 2000, 2800}, {800, -100, 700}, {800, 4500, 4500},
+	} {
+		b, _ := begin("ab")
+		b.timeOff, b.products[0].left = c.off, 4000
+		x := b.seat()
+		x.product = &b.products[0]
+		b.limit(x, b.now+c.told)
+		assert.InDelta(t, float64(c.want), float64(x.horizon-b.now), 30, "%v", c)
+		assert.LessOrEqual(t, x.horizon-b.now, max(c.told+c.off, 4000))
+	}
+}
+
+// Guards against keys that wait for something of their own (a lock, clients that read slowly) and brought down the
+// endpoints they were met at, and the shares by which all others are let in.
+func TestStuckKeysBlameNoEndpoint(t *testing.T) {
+	b, r := begin("abcdefgh")
+	b.warmKeys = true
+	dismissed := 0
+	for n := range 400 {
+		x, key, took := ExchangeID(fmt.Sprint(n)), KeyID(n%40+1), Millis(20)
+		if n%4 == 0 {
+			key, took = 200, 3000
+		}
+		r.take()
+		b.Arrive(x, replayable, -1, key, b.now+4000, 0, false)
+		if len(r.take("dismiss")) > 0 {
+			dismissed++
+		}
+		b.Ended(x, 0, Satisfied, took, true)
+		b.At(b.now + 20)
+		if n%10 == 0 {
+			beats(b, 1)
+		}
+	}
+	assert.Greater(t, dismissed, 80, "of a hundred")
+	assert.Less(t, dismissed, 100, "now and then one is tried")
+	assert.Less(t, b.lost, 0.1)
+	for _, e := range b.endpoints {
+		assert.False(t, e.doubted)
+	}
+}
+
+// Guards against answers that fill all buffers while their clients read: nothing else got through.
+func TestOldestIsGivenUpWhenAllBuffersAreTaken(t *testing.T) {
+	b, r := begin("abcdefgh")
+	b.buffers = 2
+	for n := range 3 {
+		b.Arrive(ExchangeID(fmt.Sprint(n)), replayable, -1, KeyID(n+1), b.now+40000, 0, false)
+		b.At(b.now + 1)
+	}
+	r.take()
+	beats(b, 8)
+	assert.Equal(t, []string{"dismiss 0"}, r.take("dismiss", "forfeit")[:1])
+}
+
 // Guards against warm keys that went wherever chance had it: a fleet that remembers them was asked for half as much
 // again as it can do.
 func TestKeysDrawTheSameEndpoints(t *testing.T) {
 	homes := func(seed uint64, key KeyID) map[EndpointID]bool {
 		b, r := begin("abcdefgh")
-		b.warmKeys, b.dice = true, seed
+		b.warmKeys, b.dice, b.heatAll = true, seed, 1e6 // one key of many
 		got := map[EndpointID]bool{}
 		for n := range 20 {
 			x := ExchangeID(fmt.Sprint(n))
--- a/logic/slab.go
+++ b/logic/slab.go
@@ -24,6 +24,7 @@
 	waitOver
 	clientLeft
 	streamBegan
+	timeOver
 )
 
 type result struct {
@@ -45,9 +46,12 @@
 	key           KeyID
 	units         float64 // of work, by its hint
 	horizon       Millis  // after it no answer is worth anything
+	abandon       Millis  // after it nobody waits for one
 	legs          []leg
-	silent, over  bool // a leg is out for too long; it has its answer
-	coming, spent bool // its request has not come whole; nor can it be sent again: what its leg took was not kept
+	asked         Millis      // when some endpoints were asked for their loads; 0: never
+	few           []*endpoint // those
+	silent, over  bool        // a leg is out for too long; it has its answer
+	coming, spent bool        // its request has not come whole; nor can it be sent again: what its leg took was not kept
 }
 
 func (b *Balancer) seat() *exchange {
--- a/logic/types.go
+++ b/logic/types.go
@@ -106,7 +106,7 @@
 	WarmKeys                bool    // endpoints do less work for a key that they met lately
 	TimeOff, StartOff       Millis  // by which abandon times and starts told may be off, in either direction
 	Buffers                 int     // answers that can be held for clients which read them; 0 where not bounded
-	Probes                  bool    // endpoints may be asked for their load
+	Probes, Reports         bool    // endpoints may be asked; and tell their load
 	ProbePrice              float64
 }
 
@@ -122,5 +122,6 @@
 	Wake(after Millis, t TimerID)
 	Tell(to PeerID, text []byte) // may be lost; text is the caller's again afterwards
 	Watch()
+	Probe(e EndpointID) // answered by Probed, once
 	Note(line string)
 }
--- a/logic/view.go
+++ b/logic/view.go
@@ -47,9 +47,9 @@
 // report tells on-call staff of states that last; what comes and goes in a moment is no news.
 func (b *Balancer) report() {
 	for _, e := range b.ready {
-		if e.doubted != e.told && b.now-e.changed > b.lasting {
-			e.told = e.doubted
-			b.Note(fmt.Sprintf("%s doubtful %t: %.0f of %.0f bad", e.id, e.told, e.bad, e.good+e.bad))
+		if e.doubted != e.noted && b.now-e.changed > b.lasting {
+			e.noted = e.doubted
+			b.Note(fmt.Sprintf("%s doubtful %t: %.0f of %.0f bad", e.id, e.noted, e.bad, e.good+e.bad))
 		}
 	}
 	b.crowding -= float64(b.beat/b.lasting) * b.crowding
