--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -21,7 +21,7 @@
 	shed                                                                                atomic.Int64
 	givenUp                                                                             [logic.Overlong + 1]atomic.Int64
 	legs                                                                                [logic.NotSent + 1]atomic.Int64
-	dialled, reused, retired, unframed                                                  atomic.Int64
+	dialled, reused, retired, unframed, probes                                          atomic.Int64
 	standstills, standstillMs                                                           atomic.Int64
 	lists, listLost, listVersion, endpoints, reloads, reloadFaults                      atomic.Int64
 	streams, streamsBroken                                                              atomic.Int64
@@ -71,7 +71,7 @@
 		{"answers_forfeited", &c.forfeited}, {"answers_overdue", &c.overdue}, {"clients_left", &c.left},
 		{"turned_away", &c.turnedAway}, {"clients_shed", &c.shed}, {"bad_input", &c.badInput}, {"panics", &c.panics},
 		{"upstream_dialled", &c.dialled}, {"upstream_reused", &c.reused}, {"upstream_retired", &c.retired},
-		{"upstream_unframed", &c.unframed}, {"streams", &c.streams}, {"streams_broken", &c.streamsBroken},
+		{"upstream_unframed", &c.unframed}, {"probes", &c.probes}, {"streams", &c.streams}, {"streams_broken", &c.streamsBroken},
 		{"standstills", &c.standstills}, {"standstill_ms", &c.standstillMs}, {"lists", &c.lists}, {"lists_lost", &c.listLost},
 		{"list_version", &c.listVersion}, {"list_endpoints", &c.endpoints},
 		{"endpoints_avoided", &c.avoided}, {"console_calls", &c.consoleCalls},
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -139,6 +139,7 @@
 		some   chan struct{}
 	}
 	published logic.Millis // when the module's view was last left for others to read
+	probes    int          // that are out
 	counters  *Counters
 	log       *zap.Logger
 	ctx       context.Context
@@ -620,6 +621,3 @@
 	l.past[x.id] = true
 	l.pastNext = (l.pastNext + 1) % rememberedIDs
 }
-
-// Probe
-func (l *loop) Probe(e logic.EndpointID) {}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -113,6 +113,7 @@
 	class  logic.ProductID // by its name, whatever may be done with it
 	head   []byte          // request line and headers, but for the time left and the empty line
 	body   []byte
+	probe  bool      // no exchange's
 	rest   *incoming // what comes behind body, of a long one
 }
 
@@ -414,7 +415,9 @@
 		stop()
 		return nil, failed(writing, err, g.ctx.Err() != nil)
 	}
-	u.counters.class(g.request.class).legs.Add(1)
+	if !g.request.probe {
+		u.counters.class(g.request.class).legs.Add(1)
+	}
 	r, keepOpen, fault := k.read(g)
 	// A connection whose leg was called off or timed out may still carry the late answer: it is not used again.
 	reusable = stop() && keepOpen
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -536,11 +536,11 @@
 	if e == nil {
 		return
 	}
-	if e == b.tested && !ok {
+	if ok = ok && l.Held >= 0; e == b.tested && !ok {
 		b.tested = nil
 	}
 	if e.asked = false; ok {
-		e.told, e.said = b.now, math.Max(l.Held, 0)
+		e.told, e.said = b.now, l.Held
 		b.compare(e, l)
 	}
 	for _, x := range slices.Clone(b.asking) {
