--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -41,6 +41,7 @@
 		LookBack: Millis(rules, "look-back"), TimeOff: Millis(rules, "budget-error"), StartOff: Millis(rules, "ready-margin"),
 		Buffers: allowed.GetInt("answer-buffers"), WarmKeys: settings.GetBool("domain", "warm-keys"),
 		Probes: allowed.GetBool("probes"), Reports: Reports(settings), ProbePrice: settings.GetFloat64("prices", "probe"),
+		IdleClose: Millis(allowed, "idle-close"),
 	}
 	if allowed.GetBool("retry-after") {
 		t.LongestAdvice = Millis(allowed, "max-retry-after")
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -55,6 +55,8 @@
 	askBelow, askShare, askPrice   = 0.25, 0.15, 0.01 // own legs an endpoint; of the time left; priced so at the most
 	askWorth, silentLoad           = 0.008, 1000.0    // points asking may cost; of who said nothing
 	testsFirst, testsLater         = 20.0, 0.005      // of reports' age, at start; chance of one more, a beat
+	warmShare                      = 0.8              // of the time after which idle connections are closed
+	testsClear                     = 0.3              // so far from the share wanted it is settled early
 	testGain, freshLeast           = 0.05, 0.35       // of a test; share of changed ones, or none is asked
 	askFit                         = 0.5              // of the time left, for what an endpoint says it holds
 	leftFall                       = 0.005            // of an exchange in the time its product usually has left, downwards
@@ -115,16 +117,16 @@
 
 type Balancer struct {
 	Outgoing
-	dice                                                                                         uint64
-	zone                                                                                         ZoneID
-	me                                                                                           PeerID
-	products                                                                                     []product
-	unknown                                                                                      product
-	tenants, admitted                                                                            []float64 // shares; fading counts
-	overShare, fleet, coldFrom, awayOdds, awayKeys, coldRate, roomLeast, fade                    float64
-	maxLegs, out, buffers, askMany                                                               int
-	copies, cancels, mustAsk, byWork, pool, warmKeys                                             bool
-	now, timeOff, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting, startOff Millis
+	dice                                                                                                 uint64
+	zone                                                                                                 ZoneID
+	me                                                                                                   PeerID
+	products                                                                                             []product
+	unknown                                                                                              product
+	tenants, admitted                                                                                    []float64 // shares; fading counts
+	overShare, fleet, coldFrom, awayOdds, awayKeys, coldRate, roomLeast, fade                            float64
+	maxLegs, out, buffers, askMany                                                                       int
+	copies, cancels, mustAsk, byWork, pool, warmKeys                                                     bool
+	now, timeOff, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting, startOff, recall Millis
 
 	// The list. banned: out by hand; back: when that ended, for it counts as started then.
 	endpoints, ready []*endpoint
@@ -196,6 +198,10 @@
 	}
 	b.unknown = product{Product: Product{Value: 1, Overdue: 1, Expected: longest}, usualAt: now,
 		place: len(t.Products), usual: float64(longest) * usualAtStart}
+	b.recall = longest * familiarShare
+	if b.asks { // to who sends little a warm connection is worth as much as what it remembers
+		b.recall = max(b.recall, t.IdleClose*warmShare)
+	}
 	b.beat, b.usual, b.lasting = shortest*beatShare, float64(shortest)*usualAtStart, longest
 	b.alone, b.capacity, b.took, b.did = b.usual, 1/b.usual, b.usual, 1
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
@@ -489,7 +495,7 @@
 
 // blind: own legs are too few to tell what endpoints hold, but they may be asked.
 func (b *Balancer) blind() bool {
-	return b.asks && b.tests >= testsFirst/2 && b.fresh > freshLeast && b.rate*b.usual < askBelow*float64(len(b.ready))
+	return b.asks && b.tests >= testsFirst/4 && b.fresh > freshLeast && b.rate*b.usual < askBelow*float64(len(b.ready))
 }
 
 func (b *Balancer) choose(x *exchange, one, two *endpoint) {
@@ -562,7 +568,7 @@
 // test asks an endpoint twice, a beat apart: reports that hardly ever change between are too old to go by.
 func (b *Balancer) test() {
 	if !b.asks || len(b.ready) == 0 || b.chance() > testsLater &&
-		(b.tests >= testsFirst || b.tests >= testsFirst/3 && b.fresh < freshLeast/2) {
+		(b.tests >= testsFirst || b.tests >= testsFirst/4 && math.Abs(b.fresh-freshLeast) > testsClear) {
 		return
 	}
 	if b.tested == nil {
@@ -910,7 +916,7 @@
 
 // familiar tells who lately answered in time: a light sidecar meets the others too seldom to know them.
 func (b *Balancer) familiar(e *endpoint) bool {
-	return e.fine > e.lost && b.now-e.fine < b.lasting*familiarShare
+	return e.fine > e.lost && b.now-e.fine < b.recall
 }
 
 // two draws two by weight, or one if there is no other. Where endpoints keep keys warm a key's hash draws in place of
@@ -980,7 +986,7 @@
 	} else if x.asked > 0 {
 		l += silentLoad
 	}
-	if b.pool {
+	if b.pool || b.warmKeys && x.key != 0 && x.asked == 0 {
 		l = b.time(x, e)
 	}
 	if e.zone != b.zone {
@@ -1210,6 +1216,9 @@
 	}
 	b.mostDoubt, b.strange = doubts*2 > len(b.ready), 1
 	wanted := math.Max(b.rate*float64(b.lasting)*familiarSpan, 1)
+	if b.blind() {
+		wanted = math.Max(wanted, float64(b.askMany))
+	}
 	share := 1 - (1-strangeShare)*math.Min(familiar/wanted, 1)
 	if strange := float64(len(b.ready)) - familiar; share < 1 && strange > 0 {
 		b.strange = math.Min(share/(1-share)*familiar/strange, 1)
--- a/logic/types.go
+++ b/logic/types.go
@@ -108,6 +108,7 @@
 	Buffers                 int     // answers that can be held for clients which read them; 0 where not bounded
 	Probes, Reports         bool    // endpoints may be asked; and tell their load
 	ProbePrice              float64
+	IdleClose               Millis // connections that are idle for so long are closed
 }
 
 // Load is what an endpoint says of itself. What it does not tell is below 0.
