--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,246 @@
+package logic
+
+import (
+	"math"
+	"slices"
+)
+
+// What an instance keeps, how that is booked and how chance is drawn. Nothing is decided here.
+
+type endpoint struct {
+	id                  EndpointID
+	zone                ZoneID
+	cell                CellID
+	mark                uint16  // its name in messages
+	name                KeyID   // its hash
+	turn                byte    // of our last message
+	kin                 []kin   // with whom a pool shares it
+	size, work, others  float64 // as listed; legs of mean work: ours, and what others told of
+	readyAt, changed    Millis  // changed: last change of doubt
+	up, listed, running bool    // up: by the list's word; running: and not out by hand
+	noted, called       bool    // staff know that it is doubtful; back by hand, no leg since
+	legs                int
+	asked               bool    // it was asked for its load,
+	told                Millis  // told it last then,
+	said                float64 // so many exchanges held, by everyone
+	seen
+}
+
+type seen struct {
+	weight, room       float64 // room: legs it may have
+	braked, fine, lost Millis  // when room last fell; last answer in time; last leg that was lost
+	good, bad, tokens  float64 // fading counts of outcomes; cold budget, in exchanges of mean work
+	took, did          float64 // fading sums of times and of work ahead: their ratio is its pace
+	doubted            bool
+	of                 []streak
+}
+
+type kin struct {
+	peer PeerID
+	turn byte
+	work float64
+	at   Millis
+}
+
+// streak is how often in a row an endpoint failed one product, which it may do while it serves the others.
+type streak struct {
+	length       int
+	ended, until Millis // last counted, and when a leg may try again
+}
+
+// tried is a fading count of outcomes.
+type tried struct{ good, bad float64 }
+
+type product struct {
+	Product
+	place                         int
+	usual, best, failing, answers float64 // mean time, of late and least; failing share
+	usualAt, left                 Millis  // left: the time its exchanges usually have
+}
+
+type Balancer struct {
+	Outgoing
+	dice                                                                                                 uint64
+	zone                                                                                                 ZoneID
+	me                                                                                                   PeerID
+	products                                                                                             []product
+	unknown                                                                                              product
+	tenants, admitted                                                                                    []float64 // shares; fading counts
+	overShare, fleet, coldFrom, awayOdds, awayKeys, coldRate, roomLeast, fade                            float64
+	maxLegs, out, buffers, askMany                                                                       int
+	copies, cancels, mustAsk, byWork, pool, warmKeys                                                     bool
+	now, timeOff, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting, startOff, recall Millis
+
+	// The list. banned: out by hand; back: when that ended, for it counts as started then.
+	endpoints, ready []*endpoint
+	known            map[EndpointID]*endpoint
+	marks            map[uint16]*endpoint
+	banned           map[EndpointID]bool
+	back             map[EndpointID]Millis
+	odds             []float64 // of the ready ones, in a pick
+
+	places, free, queue []*exchange
+	open                map[ExchangeID]*exchange
+	word                word
+	theirs              exchange
+	theirLeg            leg
+
+	recent, sorted                                  [recentLength]float64 // latencies of satisfied legs
+	samples, timerAt, part                          int
+	timer, ratioAt, shutUntil                       Millis
+	window                                          [windowParts]struct{ copies, ended float64 }
+	ratio, retries, usual, sent, rate, admittedAll  float64
+	lost, lostLong                                  float64 // shares of lost legs, of late and for longer
+	usualRank, rooms, sizes, strange, crowding      float64 // strange: draw of who is not familiar
+	others, cost, hints, alone, capacity, took, did float64 // the pool's legs; mean hint; a leg's time alone
+	mostDoubt, crowded                              bool
+	extra                                           ration
+	asks                                            bool
+	asking                                          []*exchange
+	tested                                          *endpoint
+	first                                           Load
+	tests, fresh                                    float64
+	heat                                            [heatParts]float64
+	silent                                          [heatParts]int       // exchanges with a leg that is out for too long
+	keys                                            [heatParts + 1]tried // by key; the last is of all
+	heatAll                                         float64
+	order                                           []int
+}
+
+func (e *endpoint) share(p PeerID) int {
+	return slices.IndexFunc(e.kin, func(k kin) bool { return k.peer == p })
+}
+
+// hush: a leg in transfer only takes no room at its endpoint.
+func (b *Balancer) hush(l *leg, quiet bool) {
+	if quiet && !l.quiet {
+		l.to.legs, b.out, l.to.work = l.to.legs-1, b.out-1, l.to.work-l.units
+	} else if l.quiet && !quiet {
+		l.to.legs, b.out, l.to.work = l.to.legs+1, b.out+1, l.to.work+l.units
+	}
+	if l.quiet = quiet; l.to.legs == 0 {
+		l.to.work = 0
+	}
+}
+
+func (b *Balancer) counts(t TenantID) {
+	if t >= 0 && int(t) < len(b.admitted) {
+		b.admitted[t]++
+		b.admittedAll++
+	}
+}
+
+// test asks an endpoint twice, a beat apart: reports that hardly ever change between are too old to go by.
+func (b *Balancer) test() {
+	if !b.asks || len(b.ready) == 0 || b.chance() > testsLater &&
+		(b.tests >= testsFirst || b.tests >= testsFirst/4 && math.Abs(b.fresh-freshLeast) > testsClear) {
+		return
+	}
+	if b.tested == nil {
+		b.tested, b.first = b.ready[int(b.chance()*float64(len(b.ready)))], Load{Held: -2}
+	}
+	b.Probe(b.tested.id)
+}
+
+func (b *Balancer) compare(e *endpoint, l Load) {
+	switch {
+	case e != b.tested:
+	case b.first.Held == -2:
+		b.first = l
+	default:
+		changed := 0.0
+		if l != b.first {
+			changed = 1
+		}
+		b.tested, b.tests = nil, b.tests+1
+		b.fresh += math.Max(1/b.tests, testGain) * (changed - b.fresh)
+	}
+}
+
+func (b *Balancer) answerless(x *exchange) {
+	b.asking = slices.DeleteFunc(b.asking, func(o *exchange) bool { return o == x })
+}
+
+// hold counts the exchanges of a key whose leg is silent: whatever they wait for, more of them would wait there too.
+func (b *Balancer) hold(x *exchange, on bool) {
+	if on != x.silent && (!on || x.key != 0 && !x.over) {
+		x.silent = on
+		b.silent[x.key%heatParts] += map[bool]int{true: 1, false: -1}[on]
+	}
+}
+
+func (b *Balancer) leave(x *exchange) {
+	b.queue = slices.DeleteFunc(b.queue, func(q *exchange) bool { return q == x })
+}
+
+func (e *endpoint) held() float64 { return e.work + e.others }
+
+// heatOf is the share of our traffic that is about an exchange's key, or about keys that fall in with it.
+func (b *Balancer) heatOf(x *exchange) float64 {
+	return math.Max(b.heat[x.key%heatParts]-1, 0) / (b.heatAll + heatLeast)
+}
+
+func (b *Balancer) draw(total float64) int {
+	at, last := b.chance()*total, 0
+	for i, w := range b.odds {
+		if w > 0 && at >= 0 {
+			at, last = at-w, i
+		}
+	}
+	return last
+}
+
+// draws is a draw from the posterior of a chance of success.
+func (b *Balancer) draws(r tried) float64 {
+	good, bad := b.gamma(1+int(math.Min(r.good, 8))), b.gamma(1+int(math.Min(r.bad+0.5, 8)))
+	return good / (good + bad)
+}
+
+func sum(of []float64) (total float64) {
+	for _, f := range of {
+		total += f
+	}
+	return total
+}
+
+// age lets what was counted fade, a beat's worth, and the window of copies slide.
+func (b *Balancer) age() {
+	b.rate += (1 - math.Exp(-float64(b.beat)/2000)) * (b.sent/float64(b.beat) - b.rate)
+	b.sent, b.admittedAll = 0, b.admittedAll*b.fade
+	b.lost -= b.lost * float64(b.beat/b.lasting) / lostFade // a shut sidecar hears nothing: it opens by itself
+	b.lostLong -= b.lostLong * float64(b.beat/b.lasting) / lostLongFade
+	for t := range b.admitted {
+		b.admitted[t] *= b.fade
+	}
+	cool := math.Pow(b.fade, heatFade)
+	b.heatAll *= cool
+	for k := range b.heat {
+		b.heat[k] *= cool
+	}
+	for k := range b.keys {
+		b.keys[k].good, b.keys[k].bad = b.keys[k].good*b.fade, b.keys[k].bad*b.fade
+	}
+	for part := int(float64(b.now)/(copyWindow/windowParts)) % windowParts; b.part != part; {
+		b.part = (b.part + 1) % windowParts
+		b.window[b.part].copies, b.window[b.part].ended = 0, 0
+	}
+	if b.now-b.ratioAt >= copyRefresh {
+		copies, ended := 0.0, 0.0
+		for _, w := range b.window {
+			copies, ended = copies+w.copies, ended+w.ended
+		}
+		b.ratioAt, b.ratio = b.now, copies*math.Min(ended, 1)/math.Max(ended, 1)
+	}
+}
+
+// sample keeps a latency; the timer is a percentile of those kept.
+func (b *Balancer) sample(took float64) {
+	b.recent[b.samples%recentLength] = took
+	b.samples++
+	if b.samples >= copyFloor && b.samples >= b.timerAt {
+		s := b.sorted[:min(b.samples, recentLength)]
+		copy(s, b.recent[:])
+		slices.Sort(s)
+		b.timer, b.timerAt = Millis(s[int(copyPercentile*float64(len(s)-1))]), b.samples+recentStale
+	}
+}
