--- a/logic/logic.go
+++ b/logic/logic.go
@@ -342,7 +342,7 @@
 	rank := b.rank(x)
 	b.usualRank = cmp.Or(b.usualRank, rank)
 	b.usualRank += rankGain * (rank - b.usualRank)
-	if x.key != 0 && (b.silent[x.key%heatParts] > 0 || b.stuck(x) && b.draws(b.keys[x.key%heatParts]) < trustAt) {
+	if x.key != 0 && (b.silent[x.key%heatParts] > 0 || b.stuck(x) && b.draws(b.keys[x.key%heatParts].tried) < trustAt) {
 		return Shut
 	}
 	if later {
@@ -365,8 +365,9 @@
 }
 
 func (b *Balancer) route(x *exchange) {
-	if len(b.queue) == 0 {
+	if x.asked, x.few, x.spills = 0, x.few[:0], false; len(b.queue) == 0 {
 		if one, two := b.pair(x); two != nil && b.blind() {
+			x.asked = b.now
 			b.ask(x, one, two)
 			return
 		} else if one != nil {
@@ -393,7 +394,10 @@
 
 // ask has a few endpoints tell their load first: who sends little knows nothing of what others have sent there.
 func (b *Balancer) ask(x *exchange, one, two *endpoint) {
-	x.asked, x.few, x.next = b.now, append(x.few[:0], one, two), stepAsking
+	x.few, x.next = append(x.few, one), stepAsking
+	if two != nil {
+		x.few = append(x.few, two)
+	}
 	for i, e := range b.ready {
 		if e == two {
 			b.odds[i] = 0
@@ -456,6 +460,16 @@
 func (b *Balancer) settle(x *exchange) {
 	b.answerless(x)
 	e := slices.MinFunc(x.few, func(p, q *endpoint) int { return cmp.Compare(b.load(x, p), b.load(x, q)) })
+	if b.says(x, e) && !x.spills {
+		x.spills = true // one zone may be asked for more than its own endpoints can do
+		if one, two := b.pair(x); one != nil {
+			if x.few = x.few[:0]; e.told >= x.asked {
+				x.few = append(x.few, e)
+			}
+			b.ask(x, one, two)
+			return
+		}
+	}
 	if len(x.legs) == 0 && b.says(x, e) {
 		if why := b.admits(x, false); why != Legged {
 			b.giveUp(x, why)
@@ -630,14 +644,14 @@
 
 // furtherLeg tells whether another leg is affordable and could be answered in time.
 func (b *Balancer) furtherLeg(x *exchange) bool {
-	return b.retries >= 1+retryMost*x.product.failing && len(x.legs) < b.maxLegs &&
+	return !b.stuck(x) && b.retries >= 1+retryMost*x.product.failing && len(x.legs) < b.maxLegs &&
 		float64(x.horizon-b.now) > x.product.usual/2 &&
 		slices.ContainsFunc(b.ready, func(e *endpoint) bool { return b.gate(x, e) })
 }
 
 // copy sends the second leg of the design, unless all are slow: then copies only feed the trouble.
 func (b *Balancer) copy(x *exchange) {
-	if x.out != 1 || len(x.legs) > 1 || x.coming || b.ratio >= copyRatio || b.lostLong > lostCopies {
+	if x.out != 1 || len(x.legs) > 1 || x.coming || b.stuck(x) || b.ratio >= copyRatio || b.lostLong > lostCopies {
 		return
 	}
 	if e := b.pick(x); e != nil && b.send(x, e) {
@@ -702,7 +716,7 @@
 		if b.pool {
 			full = e.held() > 0 && b.time(x, e) > fits
 		}
-		if full && !keyed || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
+		if x.spills && e.zone == b.zone || full && !keyed || !b.gate(x, e) || !b.trusts(x, e) || b.rests(x, e) {
 			continue
 		}
 		if e.called {
@@ -946,13 +960,7 @@
 	limit := lateBest * (1 + lostOver*x.product.Overdue) * best
 	lost := o == Full || took > math.Min(math.Max(limit, lostLeast*expected), lostMost*expected)
 	if x.key != 0 && !l.lost && (lost || o == Satisfied || o == Errored) {
-		for _, k := range []*tried{&b.keys[x.key%heatParts], &b.keys[heatParts]} {
-			if lost || o == Errored {
-				k.bad++
-			} else {
-				k.good++
-			}
-		}
+		b.try(x, l, !lost && o == Satisfied)
 		if b.stuck(x) {
 			l.lost = lost
 			return
@@ -977,6 +985,21 @@
 	}
 }
 
+// try books an outcome with its key. A failure counts where the key failed elsewhere before, or where its endpoint
+// answered others meanwhile.
+func (b *Balancer) try(x *exchange, l *leg, well bool) {
+	k, all := &b.keys[x.key%heatParts], &b.keys[heatParts]
+	switch {
+	case well:
+		k.good++
+		all.good++
+	case k.failed != l.to || l.to.fine >= l.sent:
+		k.bad++
+		all.bad++
+		k.failed = l.to
+	}
+}
+
 // widen: rooms follow lateness, so that all sidecars keep queues short without knowing of each other.
 func (b *Balancer) widen(l *leg, late bool) {
 	switch e := l.to; {
--- a/logic/slab.go
+++ b/logic/slab.go
@@ -50,6 +50,7 @@
 	legs          []leg
 	asked         Millis      // when some endpoints were asked for their loads; 0: never
 	few           []*endpoint // those
+	spills        bool        // endpoints of other zones are asked too
 	silent, over  bool        // a leg is out for too long; it has its answer
 	coming, spent bool        // its request has not come whole; nor can it be sent again: what its leg took was not kept
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -51,6 +51,12 @@
 // tried is a fading count of outcomes.
 type tried struct{ good, bad float64 }
 
+// keyed is what is known of a key: its outcomes, and where it failed last.
+type keyed struct {
+	tried
+	failed *endpoint
+}
+
 type product struct {
 	Product
 	place                         int
@@ -102,7 +108,7 @@
 	tests, fresh                                    float64
 	heat                                            [heatParts]float64
 	silent                                          [heatParts]int       // exchanges with a leg that is out for too long
-	keys                                            [heatParts + 1]tried // by key; the last is of all
+	keys                                            [heatParts + 1]keyed // by key; the last is of all
 	heatAll                                         float64
 	order                                           []int
 }
@@ -218,7 +224,8 @@
 		b.heat[k] *= cool
 	}
 	for k := range b.keys {
-		b.keys[k].good, b.keys[k].bad = b.keys[k].good*b.fade, b.keys[k].bad*b.fade
+		n := &b.keys[k]
+		n.good, n.bad = n.good*b.fade, n.bad*b.fade
 	}
 	for part := int(float64(b.now)/(copyWindow/windowParts)) % windowParts; b.part != part; {
 		b.part = (b.part + 1) % windowParts
