--- a/logic/logic.go
+++ b/logic/logic.go
@@ -399,7 +399,7 @@
 		x.few = append(x.few, two)
 	}
 	for i, e := range b.ready {
-		if e == two {
+		if e == two || b.isCold(e) { // of more that are asked the idlest wins: no more come to a cold one for that
 			b.odds[i] = 0
 		}
 	}
@@ -443,7 +443,7 @@
 
 // says tells whether an endpoint holds more than would let an exchange be answered soon, or is silent.
 func (b *Balancer) says(x *exchange, e *endpoint) bool {
-	return e.told < x.asked || (e.said+1)*b.took/b.did > askFit*float64(x.horizon-b.now)
+	return e.told < x.asked || (e.said+1)*b.took/b.did/b.capacityNow(e) > askFit*float64(x.horizon-b.now)
 }
 
 func stepAsking(b *Balancer, x *exchange, r result) {
@@ -682,7 +682,8 @@
 			first = false
 		}
 	}
-	return !b.isCold(e) || e.tokens >= b.effort(x)
+	// Tokens start anywhere below one: were a light exchange let go for less, part of a large fleet could at once.
+	return !b.isCold(e) || e.tokens >= math.Max(b.effort(x), 1)
 }
 
 func (b *Balancer) isCold(e *endpoint) bool { return e.readyAt > 0 && b.now < e.readyAt+b.cold }
@@ -810,7 +811,7 @@
 func (b *Balancer) load(x *exchange, e *endpoint) float64 {
 	l := e.held() + 1
 	if e.told >= x.asked && x.asked > 0 {
-		l = (e.said + 1) / e.size
+		l = (e.said + 1) / (e.size * b.capacityNow(e)) // a cold one is idle for a reason
 	} else if x.asked > 0 {
 		l += silentLoad
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1025,6 +1025,27 @@
 	assert.Empty(t, b.open)
 }
 
+// Guards against a fleet of 1,400 that pushed 14 cold endpoints over: being idle they won whenever they were asked, and a
+// light product's exchange went for less than a whole token, which a fifth of all sidecars had at once.
+func TestColdEndpointsAreNoIdleOnes(t *testing.T) {
+	b, r, few := asking()
+	cold := b.known[EndpointID(few[0])]
+	cold.readyAt, cold.tokens = b.now, 1
+	for n, id := range few {
+		b.Probed(EndpointID(id), true, 1, Load{Held: float64(2 * n)})
+	}
+	assert.Equal(t, EndpointID(few[1]), sentTo(r), "it can do a tenth of the others' work")
+
+	b, _ = begin("ab")
+	e, x := b.known["a"], &exchange{product: &b.products[replayable], horizon: b.now + 1000}
+	x.product.usual = 0.8 * b.usual
+	e.readyAt = b.now
+	for tokens, want := range map[float64]bool{0.85: false, 1: true} {
+		e.tokens = tokens
+		assert.Equal(t, want, b.gate(x, e))
+	}
+}
+
 // Guards against reports that are a second old, by which all who ask meet at the same endpoints.
 func TestOldReportsAreNotAskedFor(t *testing.T) {
 	for _, changes := range []bool{false, true} {
