Who waits for another leg holds no buffer: a leg no longer leaves for nobody

An exchange whose silent leg had failed stood in the queue for another, still marked silent, and was given up for its buffer (pulse): its place was freed and drained from the queue. The mark now ends with the last leg (Ended), so only exchanges with a leg out are given up there. Test: TestQueuedExchangeHoldsNoBuffer fails before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -559,7 +559,9 @@
 	}
 	l := &x.legs[n]
 	l.ended, l.neverRan = true, o == Full || o == NoConnection || o == NotSent
-	x.out--
+	if x.out--; x.out == 0 {
+		b.hold(x, false) // it waits for nothing now, and may be asked again or queued
+	}
 	b.hush(l, true)
 	if o == NotSent && n > 0 {
 		b.extra.further.add(l.sent, -1)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1124,6 +1124,21 @@
 	assert.Equal(t, []string{"dismiss 0"}, r.take("dismiss", "forfeit")[:1])
 }
 
+// Guards against an exchange that was given up for its buffer while it stood in the queue for another leg: its place was
+// free, and a leg left for nobody (deploy+slow_link, 62 sidecars).
+func TestQueuedExchangeHoldsNoBuffer(t *testing.T) {
+	b, r := begin("abcdefgh")
+	b.buffers = 2
+	b.Arrive("x", replayable, -1, 5, b.now+40000, 0, false)
+	beats(b, 8)
+	x := b.open["x"]
+	assert.True(t, x.silent)
+	b.Ended("x", 0, NoConnection, 10, false)
+	assert.NotNil(t, b.open["x"], "another leg is out or waited for")
+	assert.False(t, x.silent)
+	assert.Zero(t, b.silent[5])
+}
+
 // Guards against warm keys that went wherever chance had it: a fleet that remembers them was asked for half as much
 // again as it can do.
 func TestKeysDrawTheSameEndpoints(t *testing.T) {
