--- a/logic/logic.go
+++ b/logic/logic.go
@@ -778,7 +778,7 @@
 	}
 	for i, e := range b.ready {
 		if b.odds[i] > 0 {
-			b.odds[i] = math.Pow(chanceOf(x.key, e), 1/b.odds[i])
+			b.odds[i] /= -math.Log(chanceOf(x.key, e)) // not its power, which for small odds is nothing
 		}
 	}
 	wide := 1 + int(keyWide*b.heatOf(x)*float64(len(b.ready)))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1127,7 +1127,7 @@
 // Guards against an exchange that was given up for its buffer while it stood in the queue for another leg: its place was
 // free, and a leg left for nobody (deploy+slow_link, 62 sidecars).
 func TestQueuedExchangeHoldsNoBuffer(t *testing.T) {
-	b, r := begin("abcdefgh")
+	b, _ := begin("abcdefgh")
 	b.buffers = 2
 	b.Arrive("x", replayable, -1, 5, b.now+40000, 0, false)
 	beats(b, 8)
@@ -1139,6 +1139,21 @@
 	assert.Zero(t, b.silent[5])
 }
 
+// Guards against small odds that came to nothing: with all endpoints failing, a key's draw had none to choose from.
+func TestKeysOfEndpointsThatAllFail(t *testing.T) {
+	b, r := begin("ab")
+	b.warmKeys = true
+	for _, e := range b.endpoints {
+		e.weight, e.size = weightLeast, 0.001
+	}
+	for n := range 50 {
+		r.take()
+		b.Arrive(ExchangeID(fmt.Sprint(n)), replayable, -1, KeyID(n+1), b.now+4000, 0, false)
+		assert.NotEmpty(t, sentTo(r))
+		b.Ended(ExchangeID(fmt.Sprint(n)), 0, Cancelled, 0, true)
+	}
+}
+
 // Guards against warm keys that went wherever chance had it: a fleet that remembers them was asked for half as much
 // again as it can do.
 func TestKeysDrawTheSameEndpoints(t *testing.T) {
