--- a/logic/logic.go
+++ b/logic/logic.go
@@ -51,16 +51,16 @@
 	awayFall                       = 300.0            // how the draw of other zones falls with the way's price
 	listBackoff, listBackMost      = 0.05, 0.25       // of ask-within: first and longest wait after a failure,
 	heatParts, heatLeast, keyWide  = 256, 20.0, 1.5   // counters of keys; samples; endpoints over a key's share
-	stuckLeast, stuckShare         = 2.0, 0.5         // lost legs of a key; their share, and more if others' are lost too
-	askBelow, askShare, askPrice   = 0.25, 0.15, 0.01 // own legs an endpoint; of the time left; priced so at the most
+	stuckLeast, stuckShare         = 2.0, 0.5         // lost legs of a key; their share, more as others' rises
+	askBelow, askShare, askPrice   = 0.25, 0.15, 0.01 // own legs an endpoint; of the time left; price at most
 	askWorth, silentLoad           = 0.008, 1000.0    // points asking may cost; of who said nothing
 	testsFirst, testsLater         = 20.0, 0.005      // of reports' age, at start; chance of one more, a beat
 	warmShare                      = 0.8              // of the time after which idle connections are closed
 	testsClear                     = 0.3              // so far from the share wanted it is settled early
 	testGain, freshLeast           = 0.05, 0.35       // of a test; share of changed ones, or none is asked
 	askFit                         = 0.5              // of the time left, for what an endpoint says it holds
-	leftFall                       = 0.005            // of an exchange in the time its product usually has left, downwards
-	heatFade, keyAway              = 0.25, 30.0       // of the fade of outcomes; the draw of other zones, for keys
+	leftFall                       = 0.005            // of an exchange in the time a product usually has, down
+	heatFade, keyAway              = 0.25, 30.0       // of the outcomes' fade; the draw of other zones, by key
 	listCrowd                      = 3.0              // and how much longer both are in a large fleet
 )
 
@@ -68,10 +68,11 @@
 	b := &Balancer{
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
-		awayOdds: 1 / (1 + awayFall*t.CrossPrice), awayKeys: 1 / (1 + math.Pow(keyAway*t.CrossPrice, 2)), copies: t.SecondCopies, cancels: t.MayCancel,
-		mustAsk: t.MustAsk, byWork: t.ByWork, warmKeys: t.WarmKeys, buffers: t.Buffers, timeOff: t.TimeOff, startOff: t.StartOff,
+		awayOdds: 1 / (1 + awayFall*t.CrossPrice), awayKeys: 1 / (1 + math.Pow(keyAway*t.CrossPrice, 2)),
+		copies: t.SecondCopies, cancels: t.MayCancel, mustAsk: t.MustAsk, byWork: t.ByWork, warmKeys: t.WarmKeys,
+		buffers: t.Buffers, timeOff: t.TimeOff, startOff: t.StartOff, strange: 1,
 		asks:    t.Probes && t.Reports && !t.Peers && t.ProbePrice <= askPrice,
-		askMany: max(2, int(askWorth/math.Max(t.ProbePrice, askWorth/4))), strange: 1, pool: t.Peers && t.Fleet > 1, me: t.Me,
+		askMany: max(2, int(askWorth/math.Max(t.ProbePrice, askWorth/4))), pool: t.Peers && t.Fleet > 1, me: t.Me,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
@@ -222,23 +223,6 @@
 	return mix(e.mark, -2-int(b.me)) | 1
 }
 
-// tell lets sharers know of all our legs there, so that a lost message misleads briefly, and how one fared.
-func (b *Balancer) tell(x *exchange, l *leg, o Outcome, took float64) {
-	if !b.pool {
-		return
-	}
-	if l.lost && o != Satisfied {
-		took = 0 // told when it was noticed
-	}
-	l.to.turn++
-	b.word = wordOf(l.to, x, l, o, took, b.effort(x))
-	for n, k := range l.to.kin {
-		if n < poolSize && k.peer != b.me {
-			b.Tell(k.peer, b.word[:])
-		}
-	}
-}
-
 // Told takes what another sidecar wrote. What is malformed, of no use or overtaken changes nothing.
 func (b *Balancer) Told(from PeerID, text []byte) {
 	w, ok := read(text)
@@ -280,7 +264,8 @@
 
 // Arrive takes an exchange; from here on it is owed one final answer. One whose request is still coming
 // gets no copy, and no further leg once Spent.
-func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, k KeyID, abandon Millis, cost float64, coming bool) {
+func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, k KeyID, abandon Millis, cost float64,
+	coming bool) {
 	x := b.seat()
 	x.id, x.product, x.tenant, x.units, x.coming, x.spent = id, &b.unknown, t, 1, coming, false
 	x.key, x.over, x.silent, x.asked = k, false, false, 0
@@ -304,26 +289,6 @@
 	}
 }
 
-func (b *Balancer) Spent(id ExchangeID) {
-	if x := b.open[id]; x != nil {
-		x.spent = true
-	}
-}
-
-// Whole tells that the request's last byte is written: its leg's work begins, and its time.
-func (b *Balancer) Whole(id ExchangeID, abandon Millis) {
-	if x := b.open[id]; x != nil && x.coming {
-		x.coming = false
-		b.limit(x, abandon)
-		for n := range x.legs {
-			if l := &x.legs[n]; !l.ended {
-				l.sent = b.now
-				b.hush(l, false)
-			}
-		}
-	}
-}
-
 func (b *Balancer) limit(x *exchange, abandon Millis) {
 	p := x.product
 	if b.timeOff > 0 {
@@ -342,7 +307,8 @@
 	rank := b.rank(x)
 	b.usualRank = cmp.Or(b.usualRank, rank)
 	b.usualRank += rankGain * (rank - b.usualRank)
-	if x.key != 0 && (b.silent[x.key%heatParts] > 0 || b.stuck(x) && b.draws(b.keys[x.key%heatParts].tried) < trustAt) {
+	k := x.key % heatParts
+	if x.key != 0 && (b.silent[k] > 0 || b.stuck(x) && b.draws(b.keys[k].tried) < trustAt) {
 		return Shut
 	}
 	if later {
@@ -380,7 +346,8 @@
 
 // blind: own legs are too few to tell what endpoints hold, but they may be asked.
 func (b *Balancer) blind() bool {
-	return b.asks && b.tests >= testsFirst/4 && b.fresh > freshLeast && b.rate*b.usual < askBelow*float64(len(b.ready))
+	few := b.rate*b.usual < askBelow*float64(len(b.ready))
+	return b.asks && few && b.tests >= testsFirst/4 && b.fresh > freshLeast
 }
 
 func (b *Balancer) choose(x *exchange, one, two *endpoint) {
@@ -392,7 +359,7 @@
 	}
 }
 
-// ask has a few endpoints tell their load first: who sends little knows nothing of what others have sent there.
+// ask has a few endpoints tell their load first: who sends little knows nothing of what others sent there.
 func (b *Balancer) ask(x *exchange, one, two *endpoint) {
 	x.few, x.next = append(x.few, one), stepAsking
 	if two != nil {
@@ -519,20 +486,6 @@
 	return true
 }
 
-func (b *Balancer) Alarm(t TimerID) {
-	switch place := int(t >> 40); {
-	case t == 0:
-		b.pulse()
-	case t == 1:
-		b.Watch()
-	case t&15 == 2 && place < len(b.places):
-		x := b.places[place]
-		if x.next != nil && x.turn == uint32(t>>8) {
-			x.next(b, x, result{what: what(t >> 4 & 15)})
-		}
-	}
-}
-
 // Began hands over a streamed answer's start, after which the leg is the client's own.
 func (b *Balancer) Began(id ExchangeID, n LegNo) {
 	if x := b.open[id]; x != nil && int(n) < len(x.legs) && !x.legs[n].ended {
@@ -653,7 +606,8 @@
 
 // copy sends the second leg of the design, unless all are slow: then copies only feed the trouble.
 func (b *Balancer) copy(x *exchange) {
-	if x.out != 1 || len(x.legs) > 1 || x.coming || b.stuck(x) || b.ratio >= copyRatio || b.lostLong > lostCopies {
+	if x.out != 1 || len(x.legs) > 1 || x.coming || b.stuck(x) ||
+		b.ratio >= copyRatio || b.lostLong > lostCopies {
 		return
 	}
 	if e := b.pick(x); e != nil && b.send(x, e) {
@@ -684,7 +638,7 @@
 			first = false
 		}
 	}
-	// Tokens start anywhere below one: were a light exchange let go for less, part of a large fleet could at once.
+	// Tokens start anywhere below one: were less enough for a light exchange, part of a large fleet would go.
 	return !b.isCold(e) || e.tokens >= math.Max(b.effort(x), 1)
 }
 
@@ -765,8 +719,8 @@
 	return e.fine > e.lost && b.now-e.fine < b.recall
 }
 
-// two draws two by weight, or one if there is no other. Where endpoints keep keys warm a key's hash draws in place of
-// chance, so that all sidecars draw alike, and chance only among as many as the key's share of our traffic fills.
+// two draws two by weight, or one if there is no other. Where endpoints keep keys warm a key's hash draws in
+// place of chance, so that all sidecars draw alike, and chance only among as many as its share of traffic fills.
 func (b *Balancer) two(x *exchange, total float64, keyed bool) (one, two int) {
 	if !keyed {
 		one = b.draw(total)
@@ -837,8 +791,8 @@
 	return b.draws(tried{e.good, e.bad}) > trustAt
 }
 
-// stuck tells that a key's exchanges fare badly wherever they go while others do not: they wait for something that
-// no endpoint can help, and blame none.
+// stuck tells that a key's exchanges fare badly wherever they go while others do not: they wait for something
+// that no endpoint can help, and blame none.
 func (b *Balancer) stuck(x *exchange) bool {
 	if x.key == 0 {
 		return false
@@ -988,8 +942,8 @@
 	}
 }
 
-// try books an outcome with its key. A failure counts where the key failed elsewhere before, or where its endpoint
-// answered others meanwhile.
+// try books an outcome with its key. A failure counts where the key failed elsewhere before, or where its
+// endpoint answered others meanwhile.
 func (b *Balancer) try(x *exchange, l *leg, well bool) {
 	k, all := &b.keys[x.key%heatParts], &b.keys[heatParts]
 	switch {
--- a/logic/message.go
+++ b/logic/message.go
@@ -58,3 +58,20 @@
 	}
 	return PeerID(at)
 }
+
+// tell lets sharers know of all our legs there, so that a lost message misleads briefly, and how one fared.
+func (b *Balancer) tell(x *exchange, l *leg, o Outcome, took float64) {
+	if !b.pool {
+		return
+	}
+	if l.lost && o != Satisfied {
+		took = 0 // told when it was noticed
+	}
+	l.to.turn++
+	b.word = wordOf(l.to, x, l, o, took, b.effort(x))
+	for n, k := range l.to.kin {
+		if n < poolSize && k.peer != b.me {
+			b.Tell(k.peer, b.word[:])
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -251,3 +251,37 @@
 		b.timer, b.timerAt = Millis(s[int(copyPercentile*float64(len(s)-1))]), b.samples+recentStale
 	}
 }
+
+func (b *Balancer) Alarm(t TimerID) {
+	switch place := int(t >> 40); {
+	case t == 0:
+		b.pulse()
+	case t == 1:
+		b.Watch()
+	case t&15 == 2 && place < len(b.places):
+		x := b.places[place]
+		if x.next != nil && x.turn == uint32(t>>8) {
+			x.next(b, x, result{what: what(t >> 4 & 15)})
+		}
+	}
+}
+
+func (b *Balancer) Spent(id ExchangeID) {
+	if x := b.open[id]; x != nil {
+		x.spent = true
+	}
+}
+
+// Whole tells that the request's last byte is written: its leg's work begins, and its time.
+func (b *Balancer) Whole(id ExchangeID, abandon Millis) {
+	if x := b.open[id]; x != nil && x.coming {
+		x.coming = false
+		b.limit(x, abandon)
+		for n := range x.legs {
+			if l := &x.legs[n]; !l.ended {
+				l.sent = b.now
+				b.hush(l, false)
+			}
+		}
+	}
+}
