--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,6 +60,7 @@
 	testGain, freshLeast           = 0.05, 0.35       // of a test; share of changed ones, or none is asked
 	askFit                         = 0.5              // of the time left, for what an endpoint says it holds
 	leftFall                       = 0.005            // of an exchange in the time a product usually has, down
+	lotWanders                     = 200.0            // longest expected times
 	heatFade, keyAway              = 0.25, 30.0       // of the outcomes' fade; the draw of other zones, by key
 	listCrowd                      = 3.0              // and how much longer both are in a large fleet
 )
@@ -317,13 +318,23 @@
 	if b.now < b.shutUntil {
 		return Shut
 	}
-	if b.chance() < math.Pow(1-b.overload(), b.usualRank/rank) {
+	if b.lot(x) < math.Pow(1-b.overload(), b.usualRank/rank) {
 		return Legged
 	}
 	b.shutUntil = b.now + min(b.beat, Millis(shutShare/math.Max(b.rate, 1e-6)))
 	return Shed
 }
 
+// lot decides who is shed. Where endpoints keep keys warm it falls alike at all sidecars and wanders slowly: those
+// let in stay warm, and with the work saved more can be.
+func (b *Balancer) lot(x *exchange) float64 {
+	if !b.warmKeys || x.key == 0 {
+		return b.chance()
+	}
+	_, part := math.Modf(chanceOf(x.key, &b.nobody) + float64(b.now/(b.lasting*lotWanders)))
+	return part
+}
+
 // overload is the part to shed. Rooms of whole legs hold a small fleet back without it.
 func (b *Balancer) overload() float64 {
 	lost := b.lost + b.lostLong*(1+shedWeight*b.lostLong)
@@ -720,7 +731,7 @@
 }
 
 // two draws two by weight, or one if there is no other. Where endpoints keep keys warm a key's hash draws in
-// place of chance, so that all sidecars draw alike, and chance only among as many as its share of traffic fills.
+// place of chance, so that all sidecars draw alike; chance only among as many as its share of traffic fills.
 func (b *Balancer) two(x *exchange, total float64, keyed bool) (one, two int) {
 	if !keyed {
 		one = b.draw(total)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1181,3 +1181,26 @@
 	}
 	assert.Greater(t, len(all), 4)
 }
+
+// Guards against an overload that chance alone sheds: each key was let in now and then, and none stayed warm.
+func TestTheLotFallsAlikeForAKey(t *testing.T) {
+	one, _ := begin("ab")
+	two, _ := begin("ab")
+	two.dice = 99
+	one.warmKeys, two.warmKeys = true, true
+	in := 0
+	for k := KeyID(1); k <= 400; k++ {
+		x := &exchange{key: k * 0x9e3779b97f4a7c15, product: &one.products[0]}
+		assert.Equal(t, one.lot(x), two.lot(x))
+		if one.lot(x) < 0.3 {
+			in++
+		}
+	}
+	assert.InDelta(t, 120, in, 40)
+	x := &exchange{key: 7}
+	before := one.lot(x)
+	one.At(one.now + one.lasting*lotWanders/4)
+	assert.NotEqual(t, before, one.lot(x), "no key is shed for good")
+	x.key = 0
+	assert.NotEqual(t, one.lot(x), one.lot(x), "no key, no lot but chance")
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -89,6 +89,7 @@
 	open                map[ExchangeID]*exchange
 	word                word
 	theirs              exchange
+	nobody              endpoint
 	theirLeg            leg
 
 	recent, sorted                                  [recentLength]float64 // latencies of satisfied legs
