--- a/logic/logic.go
+++ b/logic/logic.go
@@ -961,11 +961,14 @@
 	case well:
 		k.good++
 		all.good++
-	case k.failed != l.to || l.to.fine >= l.sent:
+	case k.failed != l.to || l.to.fine >= l.sent || l.to.failed == x.key%heatParts:
 		k.bad++
 		all.bad++
 		k.failed = l.to
 	}
+	if !well {
+		l.to.failed = x.key % heatParts
+	}
 }
 
 // widen: rooms follow lateness, so that all sidecars keep queues short without knowing of each other.
--- a/logic/state.go
+++ b/logic/state.go
@@ -31,6 +31,7 @@
 	braked, fine, lost Millis  // when room last fell; last answer in time; last leg that was lost
 	good, bad, tokens  float64 // fading counts of outcomes; cold budget, in exchanges of mean work
 	took, did          float64 // fading sums of times and of work ahead: their ratio is its pace
+	failed             KeyID   // key that failed there last
 	doubted            bool
 	of                 []streak
 }
@@ -226,7 +227,7 @@
 	}
 	for k := range b.keys {
 		n := &b.keys[k]
-		n.good, n.bad = n.good*b.fade, n.bad*b.fade
+		n.good, n.bad = n.good*cool, n.bad*cool
 	}
 	for part := int(float64(b.now)/(copyWindow/windowParts)) % windowParts; b.part != part; {
 		b.part = (b.part + 1) % windowParts
