--- a/logic/logic.go
+++ b/logic/logic.go
@@ -51,7 +51,7 @@
 	awayFall                       = 300.0            // how the draw of other zones falls with the way's price
 	listBackoff, listBackMost      = 0.05, 0.25       // of ask-within: first and longest wait after a failure,
 	heatParts, heatLeast, keyWide  = 256, 20.0, 1.5   // counters of keys; samples; endpoints over a key's share
-	stuckLeast, stuckShare         = 2.0, 0.5         // lost legs of a key; their share, more as others' rises
+	stuckLeast, stuckShare         = 1.4, 0.5         // lost legs of a key; their share, more as others' rises
 	askBelow, askShare, askPrice   = 0.25, 0.15, 0.01 // own legs an endpoint; of the time left; price at most
 	askWorth, silentLoad           = 0.008, 1000.0    // points asking may cost; of who said nothing
 	testsFirst, testsLater         = 20.0, 0.005      // of reports' age, at start; chance of one more, a beat
