--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,6 +60,7 @@
 	testGain, freshLeast           = 0.05, 0.35       // of a test; share of changed ones, or none is asked
 	askFit                         = 0.5              // of the time left, for what an endpoint says it holds
 	leftFall                       = 0.005            // of an exchange in the time a product usually has, down
+	wayPower                       = 4.0              // of the shares of legs in time, there over here
 	lotWanders                     = 200.0            // longest expected times
 	heatFade, keyAway              = 0.25, 30.0       // of the outcomes' fade; the draw of other zones, by key
 	listCrowd                      = 3.0              // and how much longer both are in a large fleet
@@ -137,6 +138,9 @@
 		b.renew(e) // a restart: what was known of the old process misleads about the new one
 	}
 	// Back by hand means restarted, whatever older start the list still tells.
+	for int(max(zone, b.zone)) >= len(b.zones) {
+		b.zones = append(b.zones, tried{})
+	}
 	e.zone, e.cell, e.size, e.readyAt = zone, cell, cmp.Or(max(size, 0), 1), max(readyAt, b.back[id], 0)
 	e.listed, e.up = h != Gone, h == Running
 	e.running = e.up && !b.banned[id]
@@ -694,10 +698,13 @@
 		if b.pool {
 			odds *= b.usual * e.did / e.took
 		}
-		if e.zone != b.zone && keyed {
-			odds *= b.awayKeys
-		} else if e.zone != b.zone {
-			odds *= b.awayOdds
+		if e.zone != b.zone { // by the way's price, and by how legs that go there fare against those at home
+			odds *= math.Pow(b.way(e.zone)/b.way(b.zone), wayPower)
+			if keyed {
+				odds *= b.awayKeys
+			} else {
+				odds *= b.awayOdds
+			}
 		}
 		if !keyed && !b.familiar(e) {
 			if !b.isCold(e) { // tokens bound those, and who is never drawn never warms up
@@ -725,6 +732,12 @@
 	return b.ready[first], two
 }
 
+// way is the share of legs to a zone that were answered in time.
+func (b *Balancer) way(z ZoneID) float64 {
+	r := b.zones[z]
+	return (r.good + 1) / (r.good + r.bad + 1)
+}
+
 // familiar tells who lately answered in time: a light sidecar meets the others too seldom to know them.
 func (b *Balancer) familiar(e *endpoint) bool {
 	return e.fine > e.lost && b.now-e.fine < b.recall
@@ -938,9 +951,11 @@
 		gain := math.Min(math.Max(1/(b.rate*float64(b.lasting)+0.01), lostGainLeast), lostGain)
 		b.lost, b.lostLong = b.lost*(1-gain), b.lostLong*(1-gain*lostLong)
 		if l.lost = lost; lost {
+			b.zones[l.to.zone].bad++
 			b.lost, b.lostLong, l.to.lost = b.lost+gain, b.lostLong+gain*lostLong, b.now
 		} else {
 			l.to.fine = b.now
+			b.zones[l.to.zone].good++
 		}
 	}
 	if b.pool {
--- a/logic/state.go
+++ b/logic/state.go
@@ -112,6 +112,7 @@
 	silent                                          [heatParts]int       // exchanges with a leg that is out for too long
 	keys                                            [heatParts + 1]keyed // by key; the last is of all
 	heatAll                                         float64
+	zones                                           []tried // by zone: legs lost, and in time
 	order                                           []int
 }
 
@@ -225,6 +226,9 @@
 	for k := range b.heat {
 		b.heat[k] *= cool
 	}
+	for z := range b.zones {
+		b.zones[z].good, b.zones[z].bad = b.zones[z].good*b.fade, b.zones[z].bad*b.fade
+	}
 	for k := range b.keys {
 		n := &b.keys[k]
 		n.good, n.bad = n.good*cool, n.bad*cool
