--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,7 +60,7 @@
 	testGain, freshLeast           = 0.05, 0.35       // of a test; share of changed ones, or none is asked
 	askFit                         = 0.5              // of the time left, for what an endpoint says it holds
 	leftFall                       = 0.005            // of an exchange in the time a product usually has, down
-	wayPower                       = 4.0              // of the shares of legs in time, there over here
+	wayPower                       = 8.0              // of the shares of legs in time, there over here
 	lotWanders                     = 200.0            // longest expected times
 	heatFade, keyAway              = 0.25, 30.0       // of the outcomes' fade; the draw of other zones, by key
 	listCrowd                      = 3.0              // and how much longer both are in a large fleet
@@ -699,12 +699,11 @@
 			odds *= b.usual * e.did / e.took
 		}
 		if e.zone != b.zone { // by the way's price, and by how legs that go there fare against those at home
-			odds *= math.Pow(b.way(e.zone)/b.way(b.zone), wayPower)
+			away := b.awayOdds
 			if keyed {
-				odds *= b.awayKeys
-			} else {
-				odds *= b.awayOdds
+				away = b.awayKeys
 			}
+			odds *= math.Min(away*math.Pow(b.way(e.zone)/b.way(b.zone), wayPower), 1)
 		}
 		if !keyed && !b.familiar(e) {
 			if !b.isCold(e) { // tokens bound those, and who is never drawn never warms up
