--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,7 +56,7 @@
 	askWorth, silentLoad           = 0.008, 1000.0    // points asking may cost; of who said nothing
 	testsFirst, testsLater         = 20.0, 0.005      // of reports' age, at start; chance of one more, a beat
 	warmShare                      = 0.8              // of the time after which idle connections are closed
-	testsClear                     = 0.3              // so far from the share wanted it is settled early
+	testsClear                     = 0.14             // so far from the share wanted it is settled early
 	testGain, freshLeast           = 0.05, 0.35       // of a test; share of changed ones, or none is asked
 	askFit                         = 0.5              // of the time left, for what an endpoint says it holds
 	leftFall                       = 0.005            // of an exchange in the time a product usually has, down
@@ -71,8 +71,8 @@
 		Outgoing: out, now: now, dice: t.Seed ^ 0x9e3779b97f4a7c15, zone: t.Zone, tenants: t.Tenants,
 		admitted: make([]float64, len(t.Tenants)), overShare: t.OverShare, maxLegs: max(t.MaxLegs, 1),
 		awayOdds: 1 / (1 + awayFall*t.CrossPrice), awayKeys: 1 / (1 + math.Pow(keyAway*t.CrossPrice, 2)),
-		copies: t.SecondCopies, cancels: t.MayCancel, mustAsk: t.MustAsk, byWork: t.ByWork, warmKeys: t.WarmKeys,
-		buffers: t.Buffers, timeOff: t.TimeOff, startOff: t.StartOff, strange: 1,
+		copies: t.SecondCopies, cancels: t.MayCancel, mustAsk: t.MustAsk, byWork: t.ByWork,
+		warmKeys: t.WarmKeys && !t.Peers, buffers: t.Buffers, timeOff: t.TimeOff, startOff: t.StartOff, strange: 1,
 		asks:    t.Probes && t.Reports && !t.Peers && t.ProbePrice <= askPrice,
 		askMany: max(2, int(askWorth/math.Max(t.ProbePrice, askWorth/4))), pool: t.Peers && t.Fleet > 1, me: t.Me,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
@@ -101,10 +101,7 @@
 	}
 	b.unknown = product{Product: Product{Value: 1, Overdue: 1, Expected: longest}, usualAt: now,
 		place: len(t.Products), usual: float64(longest) * usualAtStart}
-	b.recall = longest * familiarShare
-	if b.asks { // to who sends little a warm connection is worth as much as what it remembers
-		b.recall = max(b.recall, t.IdleClose*warmShare)
-	}
+	b.warmFor, b.recall = t.IdleClose*warmShare, longest*familiarShare
 	b.beat, b.usual, b.lasting = shortest*beatShare, float64(shortest)*usualAtStart, longest
 	b.alone, b.capacity, b.took, b.did = b.usual, 1/b.usual, b.usual, 1
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
@@ -329,8 +326,8 @@
 	return Shed
 }
 
-// lot decides who is shed. Where endpoints keep keys warm it falls alike at all sidecars and wanders slowly: those
-// let in stay warm, and with the work saved more can be.
+// lot decides who is shed. Where endpoints keep keys warm it falls alike at all sidecars and wanders slowly:
+// those let in stay warm, and with the work saved more can be.
 func (b *Balancer) lot(x *exchange) float64 {
 	if !b.warmKeys || x.key == 0 {
 		return b.chance()
@@ -362,7 +359,7 @@
 // blind: own legs are too few to tell what endpoints hold, but they may be asked.
 func (b *Balancer) blind() bool {
 	few := b.rate*b.usual < askBelow*float64(len(b.ready))
-	return b.asks && few && b.tests >= testsFirst/4 && b.fresh > freshLeast
+	return b.asks && few && b.settled() && b.fresh > freshLeast
 }
 
 func (b *Balancer) choose(x *exchange, one, two *endpoint) {
@@ -1021,8 +1018,8 @@
 	}
 	b.mostDoubt, b.strange = doubts*2 > len(b.ready), 1
 	wanted := math.Max(b.rate*float64(b.lasting)*familiarSpan, 1)
-	if b.blind() {
-		wanted = math.Max(wanted, float64(b.askMany))
+	if b.recall = b.lasting * familiarShare; b.blind() { // a warm connection is worth as much as what it remembers
+		wanted, b.recall = math.Max(wanted, float64(b.askMany)), max(b.recall, b.warmFor)
 	}
 	share := 1 - (1-strangeShare)*math.Min(familiar/wanted, 1)
 	if strange := float64(len(b.ready)) - familiar; share < 1 && strange > 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -67,16 +67,16 @@
 
 type Balancer struct {
 	Outgoing
-	dice                                                                                                 uint64
-	zone                                                                                                 ZoneID
-	me                                                                                                   PeerID
-	products                                                                                             []product
-	unknown                                                                                              product
-	tenants, admitted                                                                                    []float64 // shares; fading counts
-	overShare, fleet, coldFrom, awayOdds, awayKeys, coldRate, roomLeast, fade                            float64
-	maxLegs, out, buffers, askMany                                                                       int
-	copies, cancels, mustAsk, byWork, pool, warmKeys                                                     bool
-	now, timeOff, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting, startOff, recall Millis
+	dice                                                                                                          uint64
+	zone                                                                                                          ZoneID
+	me                                                                                                            PeerID
+	products                                                                                                      []product
+	unknown                                                                                                       product
+	tenants, admitted                                                                                             []float64 // shares; fading counts
+	overShare, fleet, coldFrom, awayOdds, awayKeys, coldRate, roomLeast, fade                                     float64
+	maxLegs, out, buffers, askMany                                                                                int
+	copies, cancels, mustAsk, byWork, pool, warmKeys                                                              bool
+	now, timeOff, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting, startOff, recall, warmFor Millis
 
 	// The list. banned: out by hand; back: when that ended, for it counts as started then.
 	endpoints, ready []*endpoint
@@ -141,8 +141,7 @@
 
 // test asks an endpoint twice, a beat apart: reports that hardly ever change between are too old to go by.
 func (b *Balancer) test() {
-	if !b.asks || len(b.ready) == 0 || b.chance() > testsLater &&
-		(b.tests >= testsFirst || b.tests >= testsFirst/4 && math.Abs(b.fresh-freshLeast) > testsClear) {
+	if !b.asks || len(b.ready) == 0 || b.settled() && b.chance() > testsLater {
 		return
 	}
 	if b.tested == nil {
@@ -291,3 +290,8 @@
 		}
 	}
 }
+
+// settled: enough is known of the reports' age, sooner where it is clear.
+func (b *Balancer) settled() bool {
+	return b.tests >= testsFirst || b.tests >= testsFirst/4 && math.Abs(b.fresh-freshLeast) > testsClear
+}
