--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,8 +1,9 @@
 // Package logic holds every decision of lynxjunction. New starts an instance from its Terms; At sets the
 // clock before each event. The list comes as ListStarts (a whole list only), Listed for each entry, ListEnds,
-// or as ListFailed; what staff say as Out, Back; what other sidecars say as Told; an exchange as Arrive, then
-// Began, Ended for each of its legs, Left, with Spent and Whole if it is still coming; a due timer as Alarm.
-// What is wanted goes through Outgoing. Ids not known any more, late timers and late outcomes are harmless.
+// or as ListFailed; what staff say as Out, Back; what other sidecars say as Told; what an endpoint says when
+// asked as Probed; an exchange as Arrive, then Began, Ended for each leg, Left, with Spent and Whole if it is
+// still coming; a due timer as Alarm. What is wanted goes through Outgoing. Unknown ids, late timers and late
+// outcomes are harmless.
 package logic
 
 import (
@@ -55,13 +56,12 @@
 	askBelow, askShare, askPrice   = 0.25, 0.15, 0.01 // own legs an endpoint; of the time left; price at most
 	askWorth, silentLoad           = 0.008, 1000.0    // points asking may cost; of who said nothing
 	testsFirst, testsLater         = 20.0, 0.005      // of reports' age, at start; chance of one more, a beat
-	warmShare                      = 0.8              // of the time after which idle connections are closed
+	warmShare, lotWanders          = 0.8, 200.0       // of idle connections' time; longest expected times, once round
 	testsClear                     = 0.14             // so far from the share wanted it is settled early
 	testGain, freshLeast           = 0.05, 0.35       // of a test; share of changed ones, or none is asked
 	askFit                         = 0.5              // of the time left, for what an endpoint says it holds
 	leftFall                       = 0.005            // of an exchange in the time a product usually has, down
 	wayPower                       = 8.0              // of the shares of legs in time, there over here
-	lotWanders                     = 200.0            // longest expected times
 	heatFade, keyAway              = 0.25, 30.0       // of the outcomes' fade; the draw of other zones, by key
 	listCrowd                      = 3.0              // and how much longer both are in a large fleet
 )
@@ -116,12 +116,6 @@
 
 func (b *Balancer) At(now Millis) { b.now = now }
 
-func (b *Balancer) ListStarts() {
-	for _, e := range b.endpoints {
-		e.listed = false
-	}
-}
-
 func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
 	if readyAt > 0 { // told too early or too late: it is cold for longer
 		readyAt += b.startOff
@@ -728,12 +722,6 @@
 	return b.ready[first], two
 }
 
-// way is the share of legs to a zone that were answered in time.
-func (b *Balancer) way(z ZoneID) float64 {
-	r := b.zones[z]
-	return (r.good + 1) / (r.good + r.bad + 1)
-}
-
 // familiar tells who lately answered in time: a light sidecar meets the others too seldom to know them.
 func (b *Balancer) familiar(e *endpoint) bool {
 	return e.fine > e.lost && b.now-e.fine < b.recall
@@ -918,19 +906,6 @@
 	b.judge(e)
 }
 
-func (b *Balancer) learn(x *exchange, e *endpoint, took float64) {
-	b.sample(took)
-	p := x.product
-	p.answers++
-	gain := math.Max(1/(p.answers+2), math.Min(float64(b.now-p.usualAt)/usualMemory, 1))
-	p.usual, p.usualAt = p.usual+gain*(took-p.usual), b.now
-	if p.answers <= copyFloor || p.usual < p.best {
-		p.best = p.usual
-	}
-	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
-	e.good++
-}
-
 // weigh books how long a leg took or is out already: silence counts before any time-out runs out.
 func (b *Balancer) weigh(x *exchange, l *leg, o Outcome, took float64) {
 	expected, best := float64(x.product.Expected), x.product.best
@@ -1018,7 +993,7 @@
 	}
 	b.mostDoubt, b.strange = doubts*2 > len(b.ready), 1
 	wanted := math.Max(b.rate*float64(b.lasting)*familiarSpan, 1)
-	if b.recall = b.lasting * familiarShare; b.blind() { // a warm connection is worth as much as what it remembers
+	if b.recall = b.lasting * familiarShare; b.blind() { // a warm connection is worth remembering
 		wanted, b.recall = math.Max(wanted, float64(b.askMany)), max(b.recall, b.warmFor)
 	}
 	share := 1 - (1-strangeShare)*math.Min(familiar/wanted, 1)
--- a/logic/state.go
+++ b/logic/state.go
@@ -295,3 +295,28 @@
 func (b *Balancer) settled() bool {
 	return b.tests >= testsFirst || b.tests >= testsFirst/4 && math.Abs(b.fresh-freshLeast) > testsClear
 }
+
+func (b *Balancer) learn(x *exchange, e *endpoint, took float64) {
+	b.sample(took)
+	p := x.product
+	p.answers++
+	gain := math.Max(1/(p.answers+2), math.Min(float64(b.now-p.usualAt)/usualMemory, 1))
+	p.usual, p.usualAt = p.usual+gain*(took-p.usual), b.now
+	if p.answers <= copyFloor || p.usual < p.best {
+		p.best = p.usual
+	}
+	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
+	e.good++
+}
+
+// way is the share of legs to a zone that were answered in time.
+func (b *Balancer) way(z ZoneID) float64 {
+	r := b.zones[z]
+	return (r.good + 1) / (r.good + r.bad + 1)
+}
+
+func (b *Balancer) ListStarts() {
+	for _, e := range b.endpoints {
+		e.listed = false
+	}
+}
