--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,7 +56,7 @@
 	askBelow, askShare, askPrice   = 0.25, 0.15, 0.01 // own legs an endpoint; of the time left; price at most
 	askWorth, silentLoad           = 0.008, 1000.0    // points asking may cost; of who said nothing
 	testsFirst, testsLater         = 20.0, 0.005      // of reports' age, at start; chance of one more, a beat
-	warmShare, lotWanders          = 0.8, 200.0       // of idle connections' time; longest expected times, once round
+	warmShare, lotWanders          = 0.8, 200.0       // of idle connections' time; longest expected times
 	testsClear                     = 0.14             // so far from the share wanted it is settled early
 	testGain, freshLeast           = 0.05, 0.35       // of a test; share of changed ones, or none is asked
 	askFit                         = 0.5              // of the time left, for what an endpoint says it holds
@@ -105,6 +105,7 @@
 	b.beat, b.usual, b.lasting = shortest*beatShare, float64(shortest)*usualAtStart, longest
 	b.alone, b.capacity, b.took, b.did = b.usual, 1/b.usual, b.usual, 1
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
+	b.presume(t.ProbePrice)
 	b.Wake(b.beat, 0)
 	if b.mustAsk && t.Knows && b.fleet > roomLeast {
 		b.Wake(b.askFirst*Millis(b.chance()), 1) // most of a fleet may have been restarted with us
@@ -342,8 +343,7 @@
 			x.asked = b.now
 			b.ask(x, one, two)
 			return
-		} else if one != nil {
-			b.choose(x, one, two)
+		} else if one != nil && b.send(x, b.lesser(x, one, two)) {
 			return
 		}
 	}
@@ -353,16 +353,7 @@
 // blind: own legs are too few to tell what endpoints hold, but they may be asked.
 func (b *Balancer) blind() bool {
 	few := b.rate*b.usual < askBelow*float64(len(b.ready))
-	return b.asks && few && b.settled() && b.fresh > freshLeast
-}
-
-func (b *Balancer) choose(x *exchange, one, two *endpoint) {
-	if two != nil && b.load(x, two) < b.load(x, one) {
-		one = two
-	}
-	if !b.send(x, one) {
-		b.lineUp(x)
-	}
+	return b.asks && few && b.tests >= testsFirst/4 && b.fresh > freshLeast
 }
 
 // ask has a few endpoints tell their load first: who sends little knows nothing of what others sent there.
@@ -449,7 +440,9 @@
 			return
 		}
 	}
-	b.choose(x, e, nil)
+	if !b.send(x, e) {
+		b.lineUp(x)
+	}
 }
 
 // send is the only place a leg leaves from; it passes the gate or does not go.
@@ -662,6 +655,10 @@
 // pick draws two by weight and takes the one with fewer legs.
 func (b *Balancer) pick(x *exchange) *endpoint {
 	one, two := b.pair(x)
+	return b.lesser(x, one, two)
+}
+
+func (b *Balancer) lesser(x *exchange, one, two *endpoint) *endpoint {
 	if two != nil && b.load(x, two) < b.load(x, one) {
 		return two
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1050,6 +1050,7 @@
 func TestOldReportsAreNotAskedFor(t *testing.T) {
 	for _, changes := range []bool{false, true} {
 		b, r := begin("abcdefgh")
+		arrive(b, r, "x", singleUse) // what is idle has nothing new to tell
 		b.asks, b.askMany = true, 2
 		load := Load{}
 		for range 100 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -145,7 +145,11 @@
 		return
 	}
 	if b.tested == nil {
-		b.tested, b.first = b.ready[int(b.chance()*float64(len(b.ready)))], Load{Held: -2}
+		i := slices.IndexFunc(b.ready, func(e *endpoint) bool { return e.legs > 0 })
+		if i < 0 {
+			return // an idle endpoint has nothing new to tell
+		}
+		b.tested, b.first = b.ready[i], Load{Held: -2}
 	}
 	b.Probe(b.tested.id)
 }
@@ -320,3 +324,10 @@
 		e.listed = false
 	}
 }
+
+// presume takes reports for fresh until they are found old, where asking costs next to nothing.
+func (b *Balancer) presume(price float64) {
+	if price <= askWorth/4 {
+		b.tests, b.fresh = testsFirst/4, freshLeast+testsClear/2
+	}
+}
