--- a/logic/state.go
+++ b/logic/state.go
@@ -111,6 +111,8 @@
 	heat                                            [heatParts]float64
 	silent                                          [heatParts]int       // exchanges with a leg that is out for too long
 	keys                                            [heatParts + 1]keyed // by key; the last is of all
+	stuckNoted                                      bool
+	stuckAt                                         Millis
 	heatAll                                         float64
 	zones                                           []tried // by zone: legs lost, and in time
 	order                                           []int
--- a/logic/view.go
+++ b/logic/view.go
@@ -8,6 +8,9 @@
 // View is what an instance sees, for staff and logs. Nothing is decided by it.
 type View struct {
 	Ready, Cold, Idle, IdleCold, Doubted, Familiar, Waiting, Legs int
+	Stuck, Asking                                                 int  // keys let in by trials only; exchanges that await loads
+	Asks                                                          bool // endpoints are asked for their load
+	Fresh                                                         float64
 	Rooms, Tokens, Lost, LostLong, Overload, Rate, Usual          float64
 }
 
@@ -16,6 +19,7 @@
 	v := View{
 		Ready: len(b.ready), Waiting: len(b.queue), Legs: b.out, Rooms: b.rooms, Lost: b.lost, LostLong: b.lostLong,
 		Overload: b.overload(), Rate: b.rate * 1000, Usual: b.usual,
+		Stuck: b.stuckKeys(), Asking: len(b.asking), Asks: b.blind(), Fresh: b.fresh,
 	}
 	for _, e := range b.ready {
 		cold, idle := b.isCold(e), e.legs == 0
@@ -34,6 +38,15 @@
 	return v
 }
 
+func (b *Balancer) stuckKeys() (n int) {
+	for k := range heatParts {
+		if b.stuck(&exchange{key: KeyID(k) + heatParts}) {
+			n++
+		}
+	}
+	return n
+}
+
 // Avoided counts the listed endpoints that get nothing but, at the most, a trial now: by the list, by hand or by choice.
 func (b *Balancer) Avoided() (n int) {
 	for _, e := range b.endpoints {
@@ -52,6 +65,12 @@
 			b.Note(fmt.Sprintf("%s doubtful %t: %.0f of %.0f bad", e.id, e.noted, e.bad, e.good+e.bad))
 		}
 	}
+	if b.now-b.stuckAt > b.lasting {
+		n, noted := b.stuckKeys(), b.stuckNoted
+		if b.stuckNoted, b.stuckAt = n > 0, b.now; b.stuckNoted != noted {
+			b.Note(fmt.Sprintf("keys stuck %t: %d of %d counters", n > 0, n, heatParts))
+		}
+	}
 	b.crowding -= float64(b.beat/b.lasting) * b.crowding
 	if len(b.queue) > 0 || b.overload() > b.chance() {
 		b.crowding += float64(b.beat / b.lasting)
