--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,6 +74,7 @@
 		copies: t.SecondCopies, cancels: t.MayCancel, mustAsk: t.MustAsk, byWork: t.ByWork,
 		warmKeys: t.WarmKeys && !t.Peers, buffers: t.Buffers, timeOff: t.TimeOff, startOff: t.StartOff, strange: 1,
 		asks:    t.Probes && t.Reports && !t.Peers && t.ProbePrice <= askPrice,
+		askCost: math.Max(t.ProbePrice-askWorth/4, 0) * 2,
 		askMany: max(2, int(askWorth/math.Max(t.ProbePrice, askWorth/4))), pool: t.Peers && t.Fleet > 1, me: t.Me,
 		cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
@@ -353,7 +354,8 @@
 // blind: own legs are too few to tell what endpoints hold, but they may be asked.
 func (b *Balancer) blind() bool {
 	few := b.rate*b.usual < askBelow*float64(len(b.ready))
-	return b.asks && few && b.tests >= testsFirst/4 && b.fresh > freshLeast
+	known := b.fresh > freshLeast && (b.askCost == 0 || b.settled())
+	return b.asks && few && known && b.lost+b.lostLong >= b.askCost // no more than is lost
 }
 
 // ask has a few endpoints tell their load first: who sends little knows nothing of what others sent there.
--- a/logic/state.go
+++ b/logic/state.go
@@ -111,6 +111,7 @@
 	heat                                            [heatParts]float64
 	silent                                          [heatParts]int       // exchanges with a leg that is out for too long
 	keys                                            [heatParts + 1]keyed // by key; the last is of all
+	askCost                                         float64
 	stuckNoted                                      bool
 	stuckAt                                         Millis
 	heatAll                                         float64
@@ -147,8 +148,13 @@
 		return
 	}
 	if b.tested == nil {
-		i := slices.IndexFunc(b.ready, func(e *endpoint) bool { return e.legs > 0 })
-		if i < 0 {
+		i := slices.IndexFunc(b.ready, func(e *endpoint) bool {
+			if b.askCost == 0 {
+				return e.legs > 0
+			}
+			return e.legs == 0 && e.fine > b.now-b.beat // its connection is free: no other is opened for the question
+		})
+		if i < 0 || b.lost+b.lostLong < b.askCost {
 			return // an idle endpoint has nothing new to tell
 		}
 		b.tested, b.first = b.ready[i], Load{Held: -2}
