--- a/internal/terms/check_test.go
+++ b/internal/terms/check_test.go
@@ -20,6 +20,11 @@
 		{`{"fleet-size":3,"me":3}`, "settings.me"},
 		{`{"me":-1}`, "settings.me"},
 		{`{"tick":nan}`, "settings.tick"},
+		{`{"guarantees":{"extra-free":3,"extra-ratio":0.1,"look-back":5000,"budget-error":820,"ready-margin":null}}`, ""},
+		{`{"guarantees":{"look-back":-1}}`, "settings.guarantees.look-back"},
+		{`{"guarantees":{"extra-ratio":"a tenth"}}`, "settings.guarantees.extra-ratio"},
+		{`{"guarantees":{"budget-error":-820}}`, "settings.guarantees.budget-error"},
+		{`{"allowed":{"answer-buffers":-5}}`, "settings.allowed.answer-buffers"},
 		{`{"overage-value":1.5}`, "settings.overage-value"},
 		{`{"prices":{"cross-zone":inf}}`, "settings.prices.cross-zone"},
 		{`{"guarantees":{"cold-from":1.1}}`, "settings.guarantees.cold-from"},
@@ -58,3 +63,18 @@
 	assert.Equal(t, logic.PeerID(4), got.Me)
 	assert.True(t, got.Peers && got.ByWork && !got.MustAsk)
 }
+
+// What the further deployments state must reach the module, and what a report lacks must not count as an idle endpoint.
+func TestSettingsOfTheFurtherDeployments(t *testing.T) {
+	got, _ := From(fastjson.MustParse(`{"allowed":{"answer-buffers":5,"probes":true,"idle-close":15000},"domain":{"warm-keys":true},
+		"guarantees":{"extra-free":3,"extra-ratio":0.1,"look-back":5000,"budget-error":820,"ready-margin":90},
+		"prices":{"probe":0.002},"report":{"how":"piggyback","columns":["active","cpu"]}}`), 1)
+	assert.Equal(t, []any{5, true, logic.Millis(15000), true, 3.0, 0.1, logic.Millis(5000), logic.Millis(820), logic.Millis(90), 0.002, true},
+		[]any{got.Buffers, got.Probes, got.IdleClose, got.WarmKeys, got.ExtraFree, got.ExtraRatio, got.LookBack, got.TimeOff, got.StartOff,
+			got.ProbePrice, got.Reports})
+	assert.Equal(t, logic.Load{Held: 7, Waiting: -1, Busy: 0.5}, Load(fastjson.MustParse(`{"active":7,"cpu":0.5,"waiting":null}`)))
+	assert.Equal(t, logic.Load{Held: -1, Waiting: -1, Busy: -1}, Load(nil))
+	assert.False(t, Reports(fastjson.MustParse(`{"report":{"how":"silent","columns":["active"]}}`)))
+	assert.Zero(t, Key(nil))
+	assert.NotEqual(t, Key([]byte("a")), Key([]byte("b")))
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -374,7 +374,7 @@
 		b.odds[i], x.few = 0, append(x.few, b.ready[i])
 	}
 	for _, e := range x.few {
-		if !e.asked {
+		if !e.asked && e.told < x.asked {
 			e.asked = true
 			b.Probe(e.id)
 		}
@@ -688,13 +688,7 @@
 		if b.pool {
 			odds *= b.usual * e.did / e.took
 		}
-		if e.zone != b.zone { // by the way's price, and by how legs that go there fare against those at home
-			away := b.awayOdds
-			if keyed {
-				away = b.awayKeys
-			}
-			odds *= math.Min(away*math.Pow(b.way(e.zone)/b.way(b.zone), wayPower), 1)
-		}
+		odds *= b.away(x, e)
 		if !keyed && !b.familiar(e) {
 			if !b.isCold(e) { // tokens bound those, and who is never drawn never warms up
 				odds *= b.strange
@@ -770,6 +764,17 @@
 	return most * math.Min(math.Pow(b.rank(x)/b.usualRank, fitRank), 1)
 }
 
+// away is the part of other zones' odds: by the way's price, and by how legs that go there fare against those at home.
+func (b *Balancer) away(x *exchange, e *endpoint) float64 {
+	odds := b.awayOdds
+	if e.zone == b.zone {
+		return 1
+	} else if b.warmKeys && x.key != 0 {
+		odds = b.awayKeys
+	}
+	return math.Min(odds*math.Pow(b.way(e.zone)/b.way(b.zone), wayPower), 1)
+}
+
 // load is the design's count of legs in flight; in a pool, where all are known, by the time they take there.
 func (b *Balancer) load(x *exchange, e *endpoint) float64 {
 	l := e.held() + 1
@@ -781,10 +786,7 @@
 	if b.pool || b.warmKeys && x.key != 0 && x.asked == 0 {
 		l = b.time(x, e)
 	}
-	if e.zone != b.zone {
-		l /= math.Sqrt(b.awayOdds)
-	}
-	return l
+	return l / math.Sqrt(b.away(x, e))
 }
 
 // trusts tries a doubtful endpoint now and then, by a draw from the posterior of its chance of success.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1205,3 +1205,50 @@
 	x.key = 0
 	assert.NotEqual(t, one.lot(x), one.lot(x), "no key, no lot but chance")
 }
+
+// Guards against a zone that drowned beside an idle one: crossing is priced, so others were drawn once in 61 times
+// whatever became of the legs at home.
+func TestZonesAreDrawnByHowLegsFareThere(t *testing.T) {
+	away := func(home, there tried) (n int) {
+		b, r := begin("ab")
+		b.Listed("b", Running, 1, 1, 1, 0)
+		b.ListEnds(false)
+		b.awayOdds, b.zones[0], b.zones[1] = 0.02, home, there
+		for i := range 400 {
+			x := ExchangeID(fmt.Sprint(i))
+			if arrive(b, r, x, replayable) == "b" {
+				n++
+			}
+			b.Ended(x, 0, Cancelled, 0, true)
+		}
+		return n
+	}
+	well, poor := tried{good: 20}, tried{good: 8, bad: 12}
+	assert.Less(t, away(well, well), 40)
+	assert.Greater(t, away(poor, well), 120, "home is asked for more than it can do")
+	assert.Less(t, away(poor, poor), 40, "so is everyone")
+	assert.Less(t, away(well, poor), 10, "the way there is slow")
+}
+
+// Guards against half a zone's exchanges dismissed while another stood idle: where those at home hold much, others are asked.
+func TestAskedElsewhereWhereHomeHoldsMuch(t *testing.T) {
+	b, r := begin("abcdefgh")
+	for _, id := range []EndpointID{"e", "f", "g", "h"} {
+		b.Listed(id, Running, 1, 2, 1, 0)
+	}
+	b.ListEnds(false)
+	b.took, b.did = 100, 1
+	b.asks, b.askMany, b.tests, b.fresh, b.awayOdds = true, 2, testsFirst, 1, 0.001
+	r.take()
+	b.Arrive("x", replayable, -1, 0, b.now+4000, 0, false)
+	home := r.take("probe")
+	for _, l := range home {
+		b.Probed(EndpointID(l[6:]), true, 1, Load{Held: 500})
+	}
+	elsewhere := r.take("probe")
+	for _, l := range elsewhere {
+		assert.Contains(t, "efgh", l[6:])
+		b.Probed(EndpointID(l[6:]), true, 1, Load{Held: 1})
+	}
+	assert.Contains(t, "efgh", string(sentTo(r)))
+}
