--- a/logic/logic.go
+++ b/logic/logic.go
@@ -764,7 +764,7 @@
 	return most * math.Min(math.Pow(b.rank(x)/b.usualRank, fitRank), 1)
 }
 
-// away is the part of other zones' odds: by the way's price, and by how legs that go there fare against those at home.
+// away is the part of its odds that another zone gets: by the price, and by how legs there fare against home.
 func (b *Balancer) away(x *exchange, e *endpoint) float64 {
 	odds := b.awayOdds
 	if e.zone == b.zone {
