--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -91,3 +91,13 @@
 }
 
 func near(t assert.TestingT, want, got float64) { assert.InDelta(t, want, got, 1e-9) }
+
+// about passes an exchange about a key, answered in took, and returns where it went, "" if nowhere.
+func about(b *Balancer, r *record, n int, key KeyID, took Millis) EndpointID {
+	x := ExchangeID(fmt.Sprint(n))
+	r.take()
+	b.Arrive(x, replayable, -1, key, b.now+4000, 0, false)
+	to := sentTo(r)
+	b.Ended(x, 0, Satisfied, took, true)
+	return to
+}
