Where no budget of legs is stated nothing is kept for one: memory no longer grows with each exchange

Found while widening the test that the ordinary path allocates nothing: Arrive booked every exchange in the ration's tally, which is only pruned when a further leg asks; without a stated window, never. On a sidecar that is 16 bytes for each tick with an exchange, for good. Now book keeps nothing where nothing is bounded, and each beat lets go of what has left the window. Probed no longer copies the list of those asking. Tests: the ordinary path with keys, a ration and asking.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -276,7 +276,7 @@
 		x.units = cost / b.cost
 	}
 	b.limit(x, abandon)
-	b.extra.taken.add(b.now, 1)
+	b.extra.book(&b.extra.taken, b.now, 1)
 	b.heat[k%heatParts]++
 	b.heatAll++
 	b.open[id] = x
@@ -396,8 +396,8 @@
 		e.told, e.said = b.now, l.Held
 		b.compare(e, l)
 	}
-	for _, x := range slices.Clone(b.asking) {
-		if ok && slices.Contains(x.few, e) {
+	for i := len(b.asking) - 1; i >= 0 && ok; i-- { // who is settled leaves, or asks anew at the end
+		if x := b.asking[i]; slices.Contains(x.few, e) {
 			if !slices.ContainsFunc(x.few, func(e *endpoint) bool { return e.told < x.asked }) {
 				b.settle(x)
 			} else {
@@ -461,7 +461,7 @@
 	if len(x.legs) == 0 {
 		b.counts(x.tenant)
 	} else {
-		b.extra.further.add(b.now, 1)
+		b.extra.book(&b.extra.further, b.now, 1)
 	}
 	// A leg gets all the time left: cutting it for a further leg wastes more work than it saves. Where clocks
 	// differ it gets its client's too: an endpoint whose clock is ahead ends what has too little by its own.
@@ -518,7 +518,7 @@
 	}
 	b.hush(l, true)
 	if o == NotSent && n > 0 {
-		b.extra.further.add(l.sent, -1)
+		b.extra.book(&b.extra.further, l.sent, -1)
 	}
 	if !l.streams || o != Satisfied && o != Cancelled {
 		b.account(x, l, o, float64(took))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -549,21 +549,37 @@
 }
 
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
-	b, _ := begin("abcd")
-	b.Outgoing = nowhere{}
-	ids := []ExchangeID{"p", "q", "r"}
-	n := 0
-	pass := func() {
-		id := ids[n%3]
-		n++
-		b.At(b.now + 50)
-		b.Arrive(id, replayable, -1, 0, b.now+4000, 0, false)
-		b.Ended(id, 0, Satisfied, 40, true)
-	}
-	for range 400 {
-		pass()
+	for name, change := range map[string]func(b *Balancer){
+		"plain": func(*Balancer) {}, "keys": func(b *Balancer) { b.warmKeys = true },
+		"a ration": func(b *Balancer) { b.extra = ration{free: 3, ratio: 0.1, over: 5000} },
+		"asked":    func(b *Balancer) { b.asks, b.askMany, b.tests, b.fresh = true, 2, testsFirst, 1 },
+	} {
+		b, _ := begin("abcd")
+		b.Outgoing = nowhere{}
+		change(b)
+		ids := []ExchangeID{"p", "q", "r"}
+		n := 0
+		pass := func() {
+			id := ids[n%3]
+			n++
+			b.At(b.now + 50)
+			b.Arrive(id, replayable, -1, KeyID(n%7), b.now+4000, 0, false)
+			for _, e := range b.endpoints {
+				if e.asked {
+					b.Probed(e.id, true, 1, Load{Held: 1})
+				}
+			}
+			b.Ended(id, 0, Satisfied, 40, true)
+			if n%10 == 0 {
+				b.age()
+			}
+		}
+		for range 400 {
+			pass()
+		}
+		assert.Zero(t, testing.AllocsPerRun(200, pass), name)
+		assert.LessOrEqual(t, len(b.extra.taken.at), 111, "what has left the window is let go though nobody asks")
 	}
-	assert.Zero(t, testing.AllocsPerRun(200, pass))
 }
 
 type nowhere struct{}
--- a/logic/slab.go
+++ b/logic/slab.go
@@ -106,6 +106,19 @@
 	return r.further.since(now-r.over, true)+1 <= r.free+r.ratio*r.taken.since(now-r.over, false)
 }
 
+// book counts exchanges taken or further legs; where nothing is bounded nothing is kept.
+func (r *ration) book(t *tally, at Millis, n float64) {
+	if r.over > 0 {
+		t.add(at, n)
+	}
+}
+
+// forget lets go of what has left the window, though nobody asks.
+func (r *ration) forget(now Millis) {
+	r.taken.since(now-r.over, false)
+	r.further.since(now-r.over, true)
+}
+
 // tally is a sum of events by their times, oldest first.
 type tally struct {
 	at    []Millis
--- a/logic/state.go
+++ b/logic/state.go
@@ -232,6 +232,7 @@
 	for t := range b.admitted {
 		b.admitted[t] *= b.fade
 	}
+	b.extra.forget(b.now)
 	cool := math.Pow(b.fade, heatFade)
 	b.heatAll *= cool
 	for k := range b.heat {
