Whom to test and the ration's rule return to the file of decisions

Folded: one hash step for mix and chanceOf; the ration's book, since forget does the same; an endpoint kept only for its zero name; a map built at each hold; a duration of probes that nothing read. A check that could not fail: TestAskedElsewhere asked whether a text contains "", and its loop may run over nothing.

--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -20,18 +20,17 @@
 type probed struct {
 	to   logic.EndpointID
 	ok   bool
-	took logic.Millis
 	load logic.Load
 }
 
 func (e probed) happen(l *loop) {
 	l.probes--
-	l.module.Probed(e.to, e.ok, e.took, e.load)
+	l.module.Probed(e.to, e.ok, e.load)
 }
 
 // Probe asks an endpoint for its load; whatever becomes of it, one probed comes back.
 func (l *loop) Probe(id logic.EndpointID) {
-	to, sent := l.up.find(id), l.now
+	to := l.up.find(id)
 	l.probes++
 	if to == nil || l.probes > 2*len(l.list.named)+8 {
 		go l.post(probed{to: id})
@@ -42,12 +41,12 @@
 	addr := to.addr
 	to.mu.Unlock()
 	head := []byte("GET /metrics/load HTTP/1.1\r\nHost: " + addr + "\r\n")
-	g := &leg{to: to, addr: addr, sent: sent, giveUp: time.Now().Add(probeTime), request: &request{method: "GET", class: -1, head: head, probe: true}}
+	g := &leg{to: to, addr: addr, sent: l.now, giveUp: time.Now().Add(probeTime), request: &request{method: "GET", class: -1, head: head, probe: true}}
 	g.ctx, g.cancel = context.WithCancel(l.ctx)
 	go func() {
 		defer g.cancel()
 		r, fault := l.up.run(g)
-		e := probed{to: id, ok: fault == nil && r.flow == nil, took: l.clock() - sent}
+		e := probed{to: id, ok: fault == nil && r.flow == nil}
 		if e.ok {
 			e.load = loadOf(r.body)
 		}
--- a/internal/sidecar/probe_test.go
+++ b/internal/sidecar/probe_test.go
@@ -47,7 +47,7 @@
 		}
 		l.Probe("e")
 		got := (<-l.queue).(probed)
-		c.want.to, c.want.took = "e", got.took
+		c.want.to = "e"
 		assert.Equal(t, c.want, got, name)
 		assert.Zero(t, u.counters.class(-1).legs.Load(), "it is no exchange's leg")
 		if c.known && name == "answers" {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -143,7 +143,7 @@
 		i.module.Left(logic.ExchangeID(v.GetStringBytes("ref")))
 	case "CHECKED":
 		i.module.Probed(logic.EndpointID(v.GetStringBytes("endpoint")), string(v.GetStringBytes("status")) == "GOOD",
-			terms.Millis(v, "duration"), terms.Load(v.Get("pressure")))
+			terms.Load(v.Get("pressure")))
 	case "MEMO":
 		if text, err := hex.DecodeString(string(v.GetStringBytes("contents"))); err == nil {
 			i.module.Told(logic.PeerID(v.GetInt("origin-peer")), text)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -221,34 +221,6 @@
 	return mix(e.mark, -2-int(b.me)) | 1
 }
 
-// Told takes what another sidecar wrote. What is malformed, of no use or overtaken changes nothing.
-func (b *Balancer) Told(from PeerID, text []byte) {
-	w, ok := read(text)
-	e := b.marks[w.mark()]
-	if !b.pool || !ok || e == nil || len(e.kin) == 0 || from < 0 || from == b.me {
-		return
-	}
-	n := e.share(from)
-	if n < 0 && len(e.kin) < 2*poolSize { // one to whom chance left few
-		n, e.kin = len(e.kin), append(e.kin, kin{peer: from, turn: w[2] - 1})
-	}
-	if n < 0 || !w.after(e.kin[n].turn) && b.now-e.kin[n].at <= b.lasting {
-		return
-	}
-	e.others += w.work() - e.kin[n].work
-	e.kin[n] = kin{peer: from, turn: w[2], work: w.work(), at: b.now}
-	if w.product() < len(b.products) {
-		o, took := w.fared()
-		if t, effort := w.begun(); o == Unclear && took == 0 {
-			e.tokens -= effort
-			b.counts(t)
-		}
-		b.theirs.product, b.theirLeg = &b.products[w.product()], leg{to: e, sent: b.now - took, ahead: w.ahead()}
-		b.account(&b.theirs, &b.theirLeg, o, float64(took))
-	}
-	b.drain()
-}
-
 // ListFailed asks again, later each time but well inside the time after which silence counts as told.
 func (b *Balancer) ListFailed() {
 	if b.mustAsk {
@@ -276,7 +248,7 @@
 		x.units = cost / b.cost
 	}
 	b.limit(x, abandon)
-	b.extra.book(&b.extra.taken, b.now, 1)
+	b.extra.taken.add(b.now, 1)
 	b.heat[k%heatParts]++
 	b.heatAll++
 	b.open[id] = x
@@ -328,7 +300,7 @@
 	if !b.warmKeys || x.key == 0 {
 		return b.chance()
 	}
-	_, part := math.Modf(chanceOf(x.key, &b.nobody) + float64(b.now/(b.lasting*lotWanders)))
+	_, part := math.Modf(chanceOf(x.key, 0) + float64(b.now/(b.lasting*lotWanders)))
 	return part
 }
 
@@ -384,7 +356,7 @@
 }
 
 // Probed takes what an endpoint said of its load, or that it said nothing. Whoever is silent is not taken.
-func (b *Balancer) Probed(id EndpointID, ok bool, _ Millis, l Load) {
+func (b *Balancer) Probed(id EndpointID, ok bool, l Load) {
 	e := b.known[id]
 	if e == nil {
 		return
@@ -407,6 +379,46 @@
 	}
 }
 
+// test asks an endpoint twice, a beat apart: reports that hardly ever change between are too old to go by.
+func (b *Balancer) test() {
+	if !b.asks || len(b.ready) == 0 || b.settled() && b.chance() > testsLater {
+		return
+	}
+	if b.tested == nil {
+		i := slices.IndexFunc(b.ready, func(e *endpoint) bool {
+			if b.askCost == 0 {
+				return e.legs > 0
+			}
+			return e.legs == 0 && e.fine > b.now-b.beat // its connection is free: no other is opened for the question
+		})
+		if i < 0 || b.lost+b.lostLong < b.askCost {
+			return // an idle endpoint has nothing new to tell
+		}
+		b.tested, b.first = b.ready[i], Load{Held: -2}
+	}
+	b.Probe(b.tested.id)
+}
+
+// settled: enough is known of the reports' age, sooner where it is clear.
+func (b *Balancer) settled() bool {
+	return b.tests >= testsFirst || b.tests >= testsFirst/4 && math.Abs(b.fresh-freshLeast) > testsClear
+}
+
+// presume takes reports for fresh until they are found old, where asking costs next to nothing.
+func (b *Balancer) presume(price float64) {
+	if price <= askWorth/4 {
+		b.tests, b.fresh = testsFirst/4, freshLeast+testsClear/2
+	}
+}
+
+// allows tells whether one more may go now. At the window's edges it counts against itself.
+func (r *ration) allows(now Millis) bool {
+	if r.over <= 0 {
+		return true
+	}
+	return r.further.since(now-r.over, true)+1 <= r.free+r.ratio*r.taken.since(now-r.over, false)
+}
+
 // says tells whether an endpoint holds more than would let an exchange be answered soon, or is silent.
 func (b *Balancer) says(x *exchange, e *endpoint) bool {
 	return e.told < x.asked || (e.said+1)*b.took/b.did/b.capacityNow(e) > askFit*float64(x.horizon-b.now)
@@ -461,7 +473,7 @@
 	if len(x.legs) == 0 {
 		b.counts(x.tenant)
 	} else {
-		b.extra.book(&b.extra.further, b.now, 1)
+		b.extra.further.add(b.now, 1)
 	}
 	// A leg gets all the time left: cutting it for a further leg wastes more work than it saves. Where clocks
 	// differ it gets its client's too: an endpoint whose clock is ahead ends what has too little by its own.
@@ -487,25 +499,6 @@
 	return true
 }
 
-// Began hands over a streamed answer's start, after which the leg is the client's own.
-func (b *Balancer) Began(id ExchangeID, n LegNo) {
-	if x := b.open[id]; x != nil && int(n) < len(x.legs) && !x.legs[n].ended {
-		l := &x.legs[n]
-		l.streams = true
-		b.hush(l, true)
-		b.account(x, l, Satisfied, float64(b.now-l.sent))
-		b.cancelOthers(x, n)
-		x.next(b, x, result{what: streamBegan})
-		b.drain()
-	}
-}
-
-func (b *Balancer) Left(id ExchangeID) {
-	if x := b.open[id]; x != nil {
-		x.next(b, x, result{what: clientLeft})
-	}
-}
-
 func (b *Balancer) Ended(id ExchangeID, n LegNo, o Outcome, took Millis, closed bool) {
 	x := b.open[id]
 	if x == nil || int(n) >= len(x.legs) || x.legs[n].ended {
@@ -518,7 +511,7 @@
 	}
 	b.hush(l, true)
 	if o == NotSent && n > 0 {
-		b.extra.book(&b.extra.further, l.sent, -1)
+		b.extra.further.add(l.sent, -1)
 	}
 	if !l.streams || o != Satisfied && o != Cancelled {
 		b.account(x, l, o, float64(took))
@@ -733,7 +726,7 @@
 	}
 	for i, e := range b.ready {
 		if b.odds[i] > 0 {
-			b.odds[i] /= -math.Log(chanceOf(x.key, e)) // not its power, which for small odds is nothing
+			b.odds[i] /= -math.Log(chanceOf(x.key, e.name)) // not its power, which for small odds is nothing
 		}
 	}
 	wide := 1 + int(keyWide*b.heatOf(x)*float64(len(b.ready)))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -566,7 +566,7 @@
 			b.Arrive(id, replayable, -1, KeyID(n%7), b.now+4000, 0, false)
 			for _, e := range b.endpoints {
 				if e.asked {
-					b.Probed(e.id, true, 1, Load{Held: 1})
+					b.Probed(e.id, true, Load{Held: 1})
 				}
 			}
 			b.Ended(id, 0, Satisfied, 40, true)
@@ -1015,12 +1015,12 @@
 	assert.Len(t, few, 3)
 	for n, id := range few {
 		assert.Empty(t, sentTo(r))
-		b.Probed(EndpointID(id), true, 1, Load{Held: float64(3 - n)})
+		b.Probed(EndpointID(id), true, Load{Held: float64(3 - n)})
 	}
 	assert.Equal(t, EndpointID(few[2]), sentTo(r), "it holds the least")
 
 	b, r, few = asking() // two stand still
-	b.Probed(EndpointID(few[1]), true, 1, Load{Held: 9})
+	b.Probed(EndpointID(few[1]), true, Load{Held: 9})
 	b.Alarm(TimerID(b.open["x"].turn)<<8 | TimerID(waitOver)<<4 | 2)
 	assert.Equal(t, EndpointID(few[1]), sentTo(r), "it answers at least")
 
@@ -1041,7 +1041,7 @@
 	cold := b.known[EndpointID(few[0])]
 	cold.readyAt, cold.tokens = b.now, 1
 	for n, id := range few {
-		b.Probed(EndpointID(id), true, 1, Load{Held: float64(2 * n)})
+		b.Probed(EndpointID(id), true, Load{Held: float64(2 * n)})
 	}
 	assert.Equal(t, EndpointID(few[1]), sentTo(r), "it can do a tenth of the others' work")
 
@@ -1069,7 +1069,7 @@
 				if load.Busy++; !changes {
 					load.Busy = 1
 				}
-				b.Probed(EndpointID(strings.TrimPrefix(l, "probe ")), true, 1, load)
+				b.Probed(EndpointID(strings.TrimPrefix(l, "probe ")), true, load)
 			}
 		}
 		assert.Equal(t, changes, b.blind())
@@ -1224,12 +1224,13 @@
 	b.Arrive("x", replayable, -1, 0, b.now+4000, 0, false)
 	home := r.take("probe")
 	for _, l := range home {
-		b.Probed(EndpointID(l[6:]), true, 1, Load{Held: 500})
+		b.Probed(EndpointID(l[6:]), true, Load{Held: 500})
 	}
 	elsewhere := r.take("probe")
+	assert.Len(t, elsewhere, 2) // else nothing below is checked, and no text lacks ""
 	for _, l := range elsewhere {
 		assert.Contains(t, "efgh", l[6:])
-		b.Probed(EndpointID(l[6:]), true, 1, Load{Held: 1})
+		b.Probed(EndpointID(l[6:]), true, Load{Held: 1})
 	}
-	assert.Contains(t, "efgh", string(sentTo(r)))
+	assert.Contains(t, []EndpointID{"e", "f", "g", "h"}, sentTo(r))
 }
--- a/logic/message.go
+++ b/logic/message.go
@@ -42,12 +42,15 @@
 
 // mix is splitmix64's last step: the same at every sidecar.
 func mix(mark uint16, n int) uint64 {
-	h := (uint64(mark)<<20 + uint64(n) + 1) * 0x9e3779b97f4a7c15
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
+	h := stir((uint64(mark)<<20 + uint64(n) + 1) * 0x9e3779b97f4a7c15)
 	return h ^ h>>31
 }
 
+func stir(h uint64) uint64 {
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	return (h ^ h>>27) * 0x94d049bb133111eb
+}
+
 // jump is Lamping and Veach's consistent hash: a fleet that grows moves few.
 func jump(h uint64, fleet float64) PeerID {
 	at, next := 0.0, 0.0
@@ -75,3 +78,31 @@
 		}
 	}
 }
+
+// Told takes what another sidecar wrote. What is malformed, of no use or overtaken changes nothing.
+func (b *Balancer) Told(from PeerID, text []byte) {
+	w, ok := read(text)
+	e := b.marks[w.mark()]
+	if !b.pool || !ok || e == nil || len(e.kin) == 0 || from < 0 || from == b.me {
+		return
+	}
+	n := e.share(from)
+	if n < 0 && len(e.kin) < 2*poolSize { // one to whom chance left few
+		n, e.kin = len(e.kin), append(e.kin, kin{peer: from, turn: w[2] - 1})
+	}
+	if n < 0 || !w.after(e.kin[n].turn) && b.now-e.kin[n].at <= b.lasting {
+		return
+	}
+	e.others += w.work() - e.kin[n].work
+	e.kin[n] = kin{peer: from, turn: w[2], work: w.work(), at: b.now}
+	if w.product() < len(b.products) {
+		o, took := w.fared()
+		if t, effort := w.begun(); o == Unclear && took == 0 {
+			e.tokens -= effort
+			b.counts(t)
+		}
+		b.theirs.product, b.theirLeg = &b.products[w.product()], leg{to: e, sent: b.now - took, ahead: w.ahead()}
+		b.account(&b.theirs, &b.theirLeg, o, float64(took))
+	}
+	b.drain()
+}
--- a/logic/slab.go
+++ b/logic/slab.go
@@ -98,21 +98,6 @@
 	taken, further tally
 }
 
-// allows tells whether one more may go now. At the window's edges it counts against itself.
-func (r *ration) allows(now Millis) bool {
-	if r.over <= 0 {
-		return true
-	}
-	return r.further.since(now-r.over, true)+1 <= r.free+r.ratio*r.taken.since(now-r.over, false)
-}
-
-// book counts exchanges taken or further legs; where nothing is bounded nothing is kept.
-func (r *ration) book(t *tally, at Millis, n float64) {
-	if r.over > 0 {
-		t.add(at, n)
-	}
-}
-
 // forget lets go of what has left the window, though nobody asks.
 func (r *ration) forget(now Millis) {
 	r.taken.since(now-r.over, false)
@@ -154,9 +139,6 @@
 func KeyOf(text []byte) KeyID { return KeyID(max(xxhash.Sum64(text), 1)) }
 
 // chanceOf is a number from 0 to 1 exclusive, the same at every sidecar.
-func chanceOf(k KeyID, e *endpoint) float64 {
-	h := uint64(k) ^ uint64(e.name)
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return (float64(uint32(h>>32)) + 0.5) / (1 << 32)
+func chanceOf(k, name KeyID) float64 {
+	return (float64(uint32(stir(uint64(k)^uint64(name))>>32)) + 0.5) / (1 << 32)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -90,7 +90,6 @@
 	open                map[ExchangeID]*exchange
 	word                word
 	theirs              exchange
-	nobody              endpoint
 	theirLeg            leg
 
 	recent, sorted                                  [recentLength]float64 // latencies of satisfied legs
@@ -142,26 +141,6 @@
 	}
 }
 
-// test asks an endpoint twice, a beat apart: reports that hardly ever change between are too old to go by.
-func (b *Balancer) test() {
-	if !b.asks || len(b.ready) == 0 || b.settled() && b.chance() > testsLater {
-		return
-	}
-	if b.tested == nil {
-		i := slices.IndexFunc(b.ready, func(e *endpoint) bool {
-			if b.askCost == 0 {
-				return e.legs > 0
-			}
-			return e.legs == 0 && e.fine > b.now-b.beat // its connection is free: no other is opened for the question
-		})
-		if i < 0 || b.lost+b.lostLong < b.askCost {
-			return // an idle endpoint has nothing new to tell
-		}
-		b.tested, b.first = b.ready[i], Load{Held: -2}
-	}
-	b.Probe(b.tested.id)
-}
-
 func (b *Balancer) compare(e *endpoint, l Load) {
 	switch {
 	case e != b.tested:
@@ -184,8 +163,11 @@
 // hold counts the exchanges of a key whose leg is silent: whatever they wait for, more of them would wait there too.
 func (b *Balancer) hold(x *exchange, on bool) {
 	if on != x.silent && (!on || x.key != 0 && !x.over) {
-		x.silent = on
-		b.silent[x.key%heatParts] += map[bool]int{true: 1, false: -1}[on]
+		if x.silent = on; on {
+			b.silent[x.key%heatParts]++
+		} else {
+			b.silent[x.key%heatParts]--
+		}
 	}
 }
 
@@ -304,11 +286,6 @@
 	}
 }
 
-// settled: enough is known of the reports' age, sooner where it is clear.
-func (b *Balancer) settled() bool {
-	return b.tests >= testsFirst || b.tests >= testsFirst/4 && math.Abs(b.fresh-freshLeast) > testsClear
-}
-
 func (b *Balancer) learn(x *exchange, e *endpoint, took float64) {
 	b.sample(took)
 	p := x.product
@@ -334,9 +311,21 @@
 	}
 }
 
-// presume takes reports for fresh until they are found old, where asking costs next to nothing.
-func (b *Balancer) presume(price float64) {
-	if price <= askWorth/4 {
-		b.tests, b.fresh = testsFirst/4, freshLeast+testsClear/2
+// Began hands over a streamed answer's start, after which the leg is the client's own.
+func (b *Balancer) Began(id ExchangeID, n LegNo) {
+	if x := b.open[id]; x != nil && int(n) < len(x.legs) && !x.legs[n].ended {
+		l := &x.legs[n]
+		l.streams = true
+		b.hush(l, true)
+		b.account(x, l, Satisfied, float64(b.now-l.sent))
+		b.cancelOthers(x, n)
+		x.next(b, x, result{what: streamBegan})
+		b.drain()
+	}
+}
+
+func (b *Balancer) Left(id ExchangeID) {
+	if x := b.open[id]; x != nil {
+		x.next(b, x, result{what: clientLeft})
 	}
 }
