Connections rest longer, repeats come once, and a rehearsal counts clients that left

Cause: restTime, a figure of its own. Change: a tenth of the settings' time to connect. The same request once more, after its connection broke, was told 409 although nothing of it had been sent: an id is remembered only if something may have run, and the loop looks whether the first still has a client. After a standstill legs wait until the news is read.

--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -37,9 +37,10 @@
 	At             float64 // when it was due: waits count from here
 	Sent           float64 // its last byte; 0 if it never was
 	Ended          float64
-	Status         int    // 0 for no answer
-	Wrong          string // what was wrong with the answer
-	Excused        string // why the sidecar owes no answer
+	Status         int     // 0 for no answer
+	Wrong          string  // what was wrong with the answer
+	Left           float64 // when its client closed its connection without an answer; 0 if it did not
+	Excused        string  // why the sidecar owes no answer
 	legs           []*Leg
 	satisfiedAtAll bool
 }
@@ -163,6 +164,30 @@
 	x.satisfiedAtAll = status == 200 && wrong == ""
 }
 
+// Leaves says that a client has closed its connection before its answer came.
+func (b *Book) Leaves(x *Exchange, sent, at float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x.Sent, x.Ended, x.Left = sent, at, at
+}
+
+// Left counts exchanges whose clients left, and legs that came for these later than so many ms after that.
+func (b *Book) Left(after float64) (exchanges, legs int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, x := range b.order {
+		if x.Left > 0 {
+			exchanges++
+			for _, l := range x.legs {
+				if l.At > x.Left+after {
+					legs++
+				}
+			}
+		}
+	}
+	return exchanges, legs
+}
+
 // Excuse says that a sidecar owes no answers for exchanges in hand within a time.
 func (b *Book) Excuse(sidecar int, from, to float64, why string) {
 	b.mu.Lock()
@@ -202,8 +227,12 @@
 // The rules' names.
 const (
 	Lost, Twice, Drains, Cold, Budget = "no exchange lost", "no effect twice", "drains kept", "no cold endpoint pushed over", "budget of legs"
+	Deserted                          = "nothing sent on for a client that left"
 )
 
+// leftGrace is the time, in ms, in which a client's leaving must be known.
+const leftGrace = 300
+
 // Check holds the accounts against the rules. Call it when all has ended.
 func (b *Book) Check() (broken []Broken) {
 	b.mu.Lock()
@@ -213,6 +242,12 @@
 		if why := b.lost(x); why != "" && x.Excused == "" {
 			broken = append(broken, Broken{Lost, x.ID, why + "\n" + b.story(x)})
 		}
+		for _, l := range x.legs {
+			if x.Left > 0 && l.At > x.Left+leftGrace {
+				broken = append(broken, Broken{Deserted, x.ID, fmt.Sprintf("its client left at %.0f ms, a leg came %.0f ms later\n%s", x.Left, l.At-x.Left, b.story(x))})
+				break
+			}
+		}
 		if why := b.twice(x); why != "" {
 			broken = append(broken, Broken{Twice, x.ID, why + "\n" + b.story(x)})
 		}
@@ -258,8 +293,8 @@
 func (b *Book) lost(x *Exchange) string {
 	late := x.Ended - max(x.At, x.Sent) - b.Products[x.Product].Abandon - b.Grace // the client's own lateness is not the sidecar's
 	switch {
-	case x.Sent == 0:
-		return "" // no sidecar took it
+	case x.Sent == 0 || x.Left > 0:
+		return "" // no sidecar took it, or nobody waits
 	case x.Status == 0:
 		return "no answer: " + x.Wrong
 	case x.Status == 409:
--- a/internal/rig/client.go
+++ b/internal/rig/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -106,10 +107,30 @@
 		}
 		used := l.used
 		l.SetDeadline(time.Now().Add(time.Duration(p.Abandon+answerLast) * time.Millisecond))
+		patience, way := c.rig.patience(a)
+		if way&1 == 1 && patience > 0 { // more behind it: a part of another request
+			text += "GET /" + p.Name + " HTTP/1.1\r\nHost: h\r\n"
+		}
 		var got *http.Response
 		if _, err = io.WriteString(l, text); err == nil {
 			sent = c.rig.now()
-			if _, err = l.in.Peek(1); err == nil {
+			if patience > 0 {
+				l.SetReadDeadline(time.Now().Add(patience))
+			}
+			_, err = l.in.Peek(1)
+			if err != nil && patience > 0 && isTimeout(err) {
+				if way&2 == 2 {
+					cut(l.Conn)
+				}
+				l.Close()
+				c.rig.book.Leaves(x, sent, c.rig.now())
+				return
+			}
+			if patience > 0 { // an answer came first; what stands behind the request makes the connection useless
+				l.SetReadDeadline(time.Now().Add(answerLast * time.Millisecond))
+				defer l.Close()
+			}
+			if err == nil {
 				if got, err = http.ReadResponse(l.in, nil); err != nil {
 					err = fmt.Errorf("an answer broken off: %w", err)
 					used = false
@@ -134,7 +155,7 @@
 			wrong = fmt.Sprintf("not made for it: %.40q", body)
 		}
 		c.rig.book.Answered(x, got.StatusCode, wrong, sent, c.rig.now())
-		if err != nil || got.Close {
+		if err != nil || got.Close || patience > 0 {
 			l.Close()
 		} else {
 			c.keep(l)
@@ -143,6 +164,29 @@
 	}
 }
 
+// patience is how long a client waits that will leave early, and in which way it does; 0 for who waits its time. Every other
+// one of a sidecar's clients leaves while the fault lasts.
+func (r *Rig) patience(a scenario.Ask) (wait time.Duration, way uint64) {
+	dice := r.s.SeedOf("leaves " + a.ID)
+	most := 0.0
+	for n := range r.s.Faults {
+		f := &r.s.Faults[n]
+		if now := r.now() / 1000; f.What == "leave" && now >= f.At && now < f.Done() && r.leaves(n, a.Sidecar) {
+			most = f.Size
+		}
+	}
+	if most == 0 || dice&1 == 0 {
+		return 0, 0
+	}
+	share := float64(dice>>8&0xffff) / 0x10000
+	return time.Duration((1 + share*most) * float64(time.Millisecond)), dice >> 1 & 3
+}
+
+func (r *Rig) leaves(n, sidecar int) bool {
+	who, _ := r.s.Chosen(n)
+	return slices.ContainsFunc(who, func(p scenario.Place) bool { return p.Number == sidecar })
+}
+
 func isTimeout(err error) bool {
 	var n net.Error
 	return errors.As(err, &n) && n.Timeout()
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -171,6 +171,8 @@
 	}
 	owed := float64((r.longest() + killAfter).Milliseconds())
 	switch f.What {
+	case "leave": // done by the clients, which look at the scenario
+		r.sleep(ctx, until)
 	case "reload":
 		p.Process.Signal(syscall.SIGHUP)
 	case "stop":
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -242,9 +242,12 @@
 		conns[n].Write([]byte(ask(fmt.Sprint(n), "GET", "look", "")))
 	}
 	within(t, "the burst waits", func() bool { return len(r.loop.queue) == len(conns) })
+	then := r.halt() // behind the burst: what is told after it and stays in the queue is not heard until all is answered
 	close(tell)
-	within(t, "the drain too", func() bool { return len(r.loop.queue) > len(conns) || len(r.loop.news) > 0 })
+	within(t, "the drain waits too", func() bool { return len(r.loop.queue) > len(conns)+1 || len(r.loop.news) > 0 })
 	goOn()
+	within(t, "the burst is sent", func() bool { return a.requests.Load()+b.requests.Load() > 0 })
+	then()
 	for _, c := range conns {
 		got, _ := exchangeOn(c, "")
 		require.NotNil(t, got)
@@ -552,3 +555,191 @@
 	assert.Error(t, err, "any other fault is one")
 	assert.NotErrorIs(t, err, syscall.EADDRINUSE)
 }
+
+// A second answer comes some milliseconds behind the first, when its connection carries the next request already: it would
+// be served as that one's. How long a connection rests follows the settings' time to connect.
+func TestSecondAnswerAfterTheNextRequest(t *testing.T) {
+	u := newUpstream(600000, 1e9, newSockets(100, &Counters{}), &Counters{})
+	n, second := atomic.Int64{}, make(chan bool)
+	s := newStandIn(t, func(c net.Conn, _ *http.Request) bool {
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n.Add(1))
+		c.Write([]byte(answer))
+		go func() {
+			<-second
+			c.Write([]byte(answer))
+		}()
+		return true
+	})
+	defer close(second)
+	for want := 1; want <= 3; want++ {
+		r, fault := u.run(testLeg(u, s.Addr().String(), 5*time.Second))
+		require.Nil(t, fault)
+		assert.Equal(t, fmt.Sprint(want), string(r.body))
+		time.Sleep(5 * time.Millisecond) // no verdict hangs on it: without a rest the next one takes that connection now
+	}
+	assert.EqualValues(t, 3, s.connections.Load())
+	assert.Equal(t, time.Minute, u.rest)
+	assert.Equal(t, stallTime/10, newUpstream(0, 0, newSockets(100, &Counters{}), &Counters{}).rest)
+}
+
+// Classes, tenants and limits of another customer: whatever is absent, nothing or extreme, a healthy endpoint's answers get
+// through, from the first exchange on.
+func TestSettingsOfAnotherCustomer(t *testing.T) {
+	product := func(text string) string { return `"products":[` + text + `]` }
+	const rest = `"expected-time":500.0,"abandon-time":1000.0,"value":1.0,"overdue-value":0.5`
+	for _, c := range []struct{ name, from, to string }{
+		{"one class only", "", product(`{"name":"look","effect":"retryable",` + rest + `}`)},
+		{"a class with a name only", "", product(`{"name":"look"}`)},
+		{"an effect that nobody knows", "", product(`{"name":"look","effect":"odd",` + rest + `}`)},
+		{"no expected time", "", product(`{"name":"look","effect":"retryable","abandon-time":1000.0,"value":1.0}`)},
+		{"no abandon time", "", product(`{"name":"look","effect":"retryable","expected-time":500.0,"value":1.0}`)},
+		{"no worth", "", product(`{"name":"look","effect":"retryable","expected-time":500.0,"abandon-time":1000.0,"value":0}`)},
+		{"one worth much, one nothing", "", product(`{"name":"look","effect":"retryable","expected-time":500.0,"abandon-time":1000.0,"value":0},` +
+			`{"name":"buy","effect":"fragile","expected-time":500.0,"abandon-time":1000.0,"value":1000000.0}`)},
+		{"a mark that nobody remembers", "", product(`{"name":"look","effect":"retryable",` + rest + `},{"name":"save","effect":"dedup","dedup-scope":"cell",` + rest + `}`)},
+		{"all the time there is", "", product(`{"name":"look","effect":"retryable","expected-time":600000.0,"abandon-time":3600000.0,"value":1.0}`)},
+		{"an expected time beyond the abandon time", "", product(`{"name":"look","effect":"retryable","expected-time":5000.0,"abandon-time":1000.0,"value":1.0}`)},
+		{"a tenant with no share", `"fleet-size":1`, `"fleet-size":1,"overage-value":0,"tenants":[{"name":"a","portion":0},{"name":"b","portion":1}]`},
+		{"no limits at all", `"allowed":{"max-legs":3,"may-cancel":true,"second-copies":true,"retry-after":true,"max-retry-after":700.0,"connect-timeout":250.0,"idle-close":15000.0}`, `"allowed":{}`},
+		{"no rules", `"guarantees":{"ask-within":1000.0,"grace-to-answer":20.0}`, `"guarantees":{}`},
+		{"a huge fleet", `"fleet-size":1`, `"fleet-size":100000`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStandIn(t, say(fine, true))
+			text := startText
+			if c.from == "" {
+				at := strings.Index(text, `"products":[`)
+				text = text[:at] + c.to + "}}"
+			} else {
+				require.Contains(t, text, c.from)
+				text = strings.Replace(text, c.from, c.to, 1)
+			}
+			start, err := Decode([]byte(strings.NewReplacer("%KNOWN%", known(s, s), "%SOCKETS%", "1024").Replace(text)))
+			require.NoError(t, err)
+			r := begin(t, known(s, s), func(s *Start) { *s = *start })
+			conn := r.dial()
+			for n := range 80 {
+				got, body := r.insist(conn, ask(fmt.Sprint(n), "GET", "look", "Tenant: a\r\n"))
+				require.NotNil(t, got, body)
+				require.Equal(t, 200, got.StatusCode, "exchange %d", n)
+			}
+		})
+	}
+}
+
+// A client whose connection broke sends its request once more under the same id. Nothing was sent on of the first: the second
+// is served. Something was: its effect must not come twice.
+func TestTheSameRequestOnceMore(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		begun bool
+		want  int
+	}{{"while its leg dialled", false, 200}, {"after its leg began", true, 409}} {
+		t.Run(c.name, func(t *testing.T) {
+			hang := make(chan bool)
+			s := newStandIn(t, func(conn net.Conn, q *http.Request) bool {
+				if c.begun {
+					<-hang
+				}
+				return say(fine, true)(conn, q)
+			})
+			defer close(hang)
+			r := begin(t, known(s), patient)
+			text := ask("1", "POST", "buy", "Content-Length: 0\r\n")
+			up, goOn := r.gatedDial(1)
+			first := r.dial()
+			first.Write([]byte(text))
+			<-up
+			if c.begun {
+				goOn()
+				<-s.seen
+			}
+			leave(first, "RST")
+			within(t, "its leaving is known", func() bool { return r.front.counters.left.Load() == 1 })
+			if !c.begun {
+				goOn()
+			}
+			within(t, "it is over", func() bool { return r.openLegs() == 0 })
+			assert.Equal(t, c.want, r.status(text))
+			assert.EqualValues(t, 1, s.requests.Load(), "one effect")
+		})
+	}
+}
+
+// The first connection's end has come and its leaving is not booked when the request comes again: the loop looks.
+func TestTheSameRequestBeforeTheLeavingIsBooked(t *testing.T) {
+	s := newStandIn(t, say(fine, true))
+	r := begin(t, "null", patient)
+	r.loop.post(listing{inventory: inventory{version: 1, full: true, servers: []entry{{id: "s0", addr: s.Addr().String(), running: true}}}, fromDisk: true})
+	text := ask("1", "POST", "buy", "Content-Length: 0\r\n")
+	goOn := r.halt()
+	first := r.dial()
+	first.Write([]byte(text))
+	within(t, "it is queued", func() bool { return len(r.loop.queue) == 1 })
+	leave(first, "FIN")
+	within(t, "so is its leaving", func() bool { return len(r.loop.queue) == 2 })
+	second := r.dial()
+	second.Write([]byte(text))
+	within(t, "and the second", func() bool { return len(r.loop.queue) == 3 })
+	goOn()
+	got, _ := exchangeOn(second, "")
+	require.NotNil(t, got)
+	assert.Contains(t, []int{200, 409}, got.StatusCode)
+	assert.LessOrEqual(t, s.requests.Load(), int64(1), "one effect")
+}
+
+// An endpoint that answers before it has the whole of a request has not read it: that answer is nobody's.
+func TestAnswerBeforeTheLastByte(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		io.ReadFull(c, make([]byte, 1000))
+		c.Write([]byte(fine))
+		io.Copy(io.Discard, c)
+	}()
+	u := testUpstream(t, 100)
+	g := testLeg(u, ln.Addr().String(), 5*time.Second)
+	g.request.body = make([]byte, 1<<20)
+	plain, first := u.dial, make(chan net.Conn, 1)
+	u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := plain(ctx, network, addr)
+		first <- c
+		return &heldWrites{Conn: c, part: 2000}, err
+	}
+	_, fault := u.run(g)
+	require.NotNil(t, fault)
+	assert.Equal(t, logic.NoConnection, fault.outcome, "it never ran")
+	assert.LessOrEqual(t, fault.reach, writing)
+}
+
+// heldWrites holds back all behind the first part of a message until its peer has said something.
+type heldWrites struct {
+	net.Conn
+	part int
+}
+
+func (h *heldWrites) SyscallConn() (syscall.RawConn, error) {
+	return h.Conn.(*net.TCPConn).SyscallConn()
+}
+
+func (h *heldWrites) Write(p []byte) (int, error) {
+	if len(p) > h.part && h.part > 0 {
+		n, err := h.Conn.Write(p[:h.part])
+		if err != nil {
+			return n, err
+		}
+		h.part = 0
+		for k := (&link{conn: h.Conn}); k.quiet(); {
+			time.Sleep(time.Millisecond)
+		}
+		m, err := h.Conn.Write(p[n:])
+		return n + m, err
+	}
+	return h.Conn.Write(p)
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,7 +54,7 @@
 // deserted looks whether anybody waits for the answer. A client's end may stand unread behind its request, in a process
 // that stood still or is short of time.
 func (x *exchange) deserted() bool {
-	return x != nil && (x.left.Load() || x.client != nil && x.request.rest == nil && x.client.look() == ended)
+	return seeded != "deserted" && x != nil && (x.left.Load() || x.client != nil && x.request.rest == nil && x.client.look() == ended)
 }
 
 // nobody in an answer's place tells the server that its client has left.
@@ -329,6 +330,9 @@
 
 func (e arrival) happen(l *loop) {
 	x := e.x
+	if before := l.open[x.id]; before != nil && before.deserted() {
+		departure{before}.happen(l) // its connection broke: this is the same request, sent once more
+	}
 	if l.open[x.id] != nil || l.past[x.id] {
 		l.counters.badInput.Add(1)
 		x.answer <- answer{status: http.StatusConflict}
@@ -342,6 +346,10 @@
 }
 
 func (e departure) happen(l *loop) {
+	if seeded == "deserted" {
+		e.x.left.Store(false)
+		return
+	}
 	if e.x.answered || l.open[e.x.id] != e.x {
 		return
 	}
@@ -696,7 +704,11 @@
 		return
 	}
 	delete(l.open, x.id)
+	ran := slices.ContainsFunc(x.legs, func(g *leg) bool { return !g.never })
 	x.request, x.legs = request{}, nil // the alarm of its abandon time keeps x, and would keep the body as long
+	if x.left.Load() && !ran {
+		return // nothing of it was ever sent: should its client come again on a new connection, that is the first time
+	}
 	delete(l.past, l.pastRing[l.pastNext])
 	l.pastRing[l.pastNext] = x.id
 	l.past[x.id] = true
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -471,6 +471,11 @@
 		assert.Equal(t, c.behind, p.behind(c.now), c.name)
 	}
 	r := begin(t, "null", nil)
+	assert.Eventually(t, func() bool { // as it was, but for a beat that comes late meanwhile
+		r.front.pace.last.Store(-int64(time.Hour))
+		return r.loop.up.behind()
+	}, 5*time.Second, time.Millisecond, "legs wait until the news is read")
+	assert.Eventually(t, func() bool { return !r.loop.up.behind() }, 5*time.Second, time.Millisecond, "and no longer")
 	f := &front{loop: r.loop, names: r.front.names, products: r.front.products}
 	f.pace.last.Store(-int64(time.Hour))
 	q, err := http.ReadRequest(bufio.NewReader(strings.NewReader(ask("1", "GET", "look", ""))))
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -309,6 +309,7 @@
 		loop: l, names: s.names, products: s.terms.Products, sockets: books, counters: counters, log: log,
 		bodyRoom: int64(s.MemoryMB) << 20 / 4, keptMost: max(int64(s.MemoryMB)<<20/256, bodyMost),
 	}
+	up.behind = func() bool { return srv.pace.behind(time.Since(l.started)) > 0 }
 	s.joinPool(ctx, l)
 	go l.run()
 	go sweeping(ctx, up)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -29,7 +29,7 @@
 	answerHead  = 8 << 10                // of an answer: more is noise
 	informMost  = 5                      // 1xx ahead of an answer
 	retireShare = 0.6                    // of idle-close: no connection older than that is used again
-	restTime    = 2 * time.Millisecond   // what comes right behind an answer must show before another request is written
+	restShare   = 0.1                    // of the time to connect: what comes behind an answer must show before another request is written
 	keyShare    = 0.95                   // of the time for which endpoints know a repeat; the rest is for its way there
 	stallTime   = 250 * time.Millisecond // between two parts of an answer, where the settings name no time to connect
 )
@@ -231,16 +231,18 @@
 	sockets   *sockets
 	counters  *Counters
 	dial      func(ctx context.Context, network, addr string) (net.Conn, error)
+	behind    func() bool // the process stood still just now, and may have news unread; nil for never
 }
 
 func newUpstream(connect, idleClose logic.Millis, s *sockets, c *Counters) *upstream {
 	u := &upstream{
 		endpoints: map[logic.EndpointID]*endpoint{}, out: map[logic.EndpointID]bool{}, dialTime: span(connect), retire: span(idleClose * retireShare),
-		stall: stallTime, rest: restTime, sockets: s, counters: c, dial: (&net.Dialer{KeepAlive: -1}).DialContext,
+		stall: stallTime, sockets: s, counters: c, dial: (&net.Dialer{KeepAlive: -1}).DialContext,
 	}
 	if u.dialTime > 0 {
 		u.stall = u.dialTime
 	}
+	u.rest = time.Duration(float64(u.stall) * restShare)
 	s.dropIdle = u.dropIdle
 	return u
 }
@@ -455,6 +457,9 @@
 	left := append(make([]byte, 0, 48), "Request-Timeout: "...)
 	left = strconv.AppendFloat(left, max(float64(time.Until(g.giveUp))/float64(time.Millisecond), 0), 'f', 3, 64)
 	text := net.Buffers{g.request.head, append(left, "m\r\n\r\n"...), g.request.body}
+	for u.behind != nil && u.behind() && g.ctx.Err() == nil && time.Now().Before(g.giveUp) {
+		time.Sleep(paceBeat / 4) // a drain may have been told meanwhile: whoever reads it comes first
+	}
 	if fault := g.mayBegin(k); fault != nil {
 		reusable = stop() // keep looks whether its endpoint still takes it
 		return nil, fault
@@ -472,6 +477,19 @@
 			time.AfterFunc(u.rest, func() { again.Close() })
 		}
 	}
+	if n := len(g.request.body); n > partMost {
+		// Whoever answers before the last byte has read no request of ours: it is kept back until that is sure.
+		text = net.Buffers{text[0], text[1], g.request.body[:n-1]}
+		if _, err := text.WriteTo(k.conn); err != nil {
+			stop()
+			return nil, failed(writing, err, g.ctx.Err() != nil)
+		}
+		if !k.quiet() {
+			stop()
+			return nil, failed(writing, errEarly, false)
+		}
+		text = net.Buffers{g.request.body[n-1:]}
+	}
 	if _, err := text.WriteTo(k.conn); err != nil {
 		stop()
 		return nil, failed(writing, err, g.ctx.Err() != nil)
@@ -488,6 +506,7 @@
 var (
 	errTooLong = errors.New("body too long")
 	errSpoilt  = errors.New("not an answer")
+	errEarly   = errors.New("an answer, or the end, before the request's last byte")
 	errStalled = errors.New("the answer began and did not go on")
 )
 
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -241,6 +241,15 @@
 				return plain(ctx, network, addr)
 			}
 		}, logic.NoConnection},
+		{"stood still, the drain unread", 100, func(u *upstream, g *leg) {
+			turn := 0
+			u.behind = func() bool {
+				if turn++; turn == 3 {
+					u.list("s", "", false)
+				}
+				return turn <= 3
+			}
+		}, logic.NoConnection},
 		{"moves while it dials", 100, func(u *upstream, g *leg) {
 			held(u, func() { u.list("s", "127.0.0.1:1", true) })
 		}, logic.NoConnection},
