Requests pipelined beyond what is read ahead are kept; pages tell the state reached

The watch behind a request in hand threw away what came beyond 64 KiB and closed the connection after the answer: a client that pipelines in good order would have had to send all that again. Now 16 KiB are read ahead, the rest stays in the kernel, and the kernel is asked for the client's end ten times a second. TestPipelinedBeyondWhatIsReadAhead: 60 requests of 4 KiB, written before the first answer is read.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -22,7 +22,8 @@
 	idleTime   = 2 * time.Second        // no less is allowed; clients may hold a third of our descriptors, kept ones too
 	freshTime  = 100 * time.Millisecond // who said nothing for so long gives way first
 	slowTime   = 500 * time.Millisecond // who has not sent a whole request by then gives way last
-	aheadMost  = 64 << 10               // bytes read ahead behind a request in hand, for its client's leaving
+	aheadMost  = 16 << 10               // bytes read ahead behind a request in hand, for its client's leaving
+	leaveBeat  = 100 * time.Millisecond // between two looks for a client's leaving where no more is read ahead
 	turnedTime = 400 * time.Millisecond // for what is left of a request that is not taken
 	headFirst  = 1 << 10                // bytes: room for a usual head
 	headSlack  = 6 << 10                // beyond headMost, so that net/http is sure to find a head too long
@@ -52,19 +53,20 @@
 	readBy  time.Time
 	closed  atomic.Bool
 
-	buf   []byte // read and not handed on
-	clear int    // of it, what may be handed on
-	body  int64  // of the present request, still to be read
-	taken bool   // the present request was let through: what comes behind it waits for its end
-	last  bool   // all further bytes belong to the present request, behind which the connection is closed
-	fault error
-	whole atomic.Bool // of such a request in chunks, the end was read
-	flood atomic.Bool // more came behind the present request than is kept: the connection is closed after its answer
-	raw   syscall.RawConn
+	buf    []byte // read and not handed on
+	clear  int    // of it, what may be handed on
+	body   int64  // of the present request, still to be read
+	taken  bool   // the present request was let through: what comes behind it waits for its end
+	last   bool   // all further bytes belong to the present request, behind which the connection is closed
+	fault  error
+	whole  atomic.Bool   // of such a request in chunks, the end was read
+	halted atomic.Bool   // net/http ends its watch
+	woken  chan struct{} // tells so
+	raw    syscall.RawConn
 }
 
 func newClient(conn *net.TCPConn, s *sockets) *client {
-	c := &client{TCPConn: conn, sockets: s}
+	c := &client{TCPConn: conn, sockets: s, woken: make(chan struct{}, 1)}
 	c.raw, _ = conn.SyscallConn()
 	c.since.Store(int64(s.clock()))
 	c.excess = !s.takeClient(c)
@@ -168,7 +170,14 @@
 		}
 	}
 	c.readBy = t
-	return c.TCPConn.SetReadDeadline(t)
+	err := c.TCPConn.SetReadDeadline(t)
+	if c.halted.Store(!t.IsZero() && t.Before(time.Now())); c.halted.Load() {
+		select {
+		case c.woken <- struct{}{}:
+		default:
+		}
+	}
+	return err
 }
 
 func (c *client) Read(p []byte) (n int, err error) {
@@ -207,12 +216,17 @@
 
 // watch reads on behind a request that has come whole, so that its client's leaving is seen whatever stands before it:
 // net/http's own watch ends with the first byte. What is asked next waits here until the present answer is written; of a
-// client that has left, or sends more than is kept, none of it is.
+// client that has left none of it is let through. Beyond what is kept nothing is read, and the kernel is asked now and then.
 func (c *client) watch() error {
 	for {
-		if len(c.buf) >= aheadMost || c.last {
-			c.flood.Store(true)
-			c.buf = c.buf[:0]
+		if c.last {
+			c.buf = c.buf[:0] // behind chunks: the connection is closed after the answer
+		}
+		if len(c.buf) >= aheadMost {
+			if err := c.watchFull(); err != nil {
+				return err
+			}
+			continue
 		}
 		if cap(c.buf)-len(c.buf) < headFirst/2 {
 			c.buf = append(make([]byte, 0, max(2*cap(c.buf), headFirst)), c.buf...)
@@ -228,11 +242,23 @@
 	}
 }
 
+func (c *client) watchFull() error {
+	switch {
+	case c.halted.Load():
+		return os.ErrDeadlineExceeded
+	case c.look() == ended:
+		c.fault, c.buf = io.EOF, nil
+		return c.fault
+	}
+	select {
+	case <-c.woken:
+	case <-time.After(leaveBeat):
+	}
+	return nil
+}
+
 // next reads until a head has come whole. Net/http answers a fault with 400 if it stands behind part of a head.
 func (c *client) next() error {
-	if c.flood.Load() {
-		return io.EOF
-	}
 	for {
 		if blank := len(c.buf) - len(bytes.TrimLeft(c.buf, "\r\n")); blank > 0 {
 			c.buf = append(c.buf[:0], c.buf[blank:]...)
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -743,3 +744,26 @@
 	}
 	return h.Conn.Write(p)
 }
+
+// Many requests pipelined on one connection, more than is read ahead: each is answered, in order, though its client writes all
+// before it reads the first answer.
+func TestPipelinedBeyondWhatIsReadAhead(t *testing.T) {
+	s := newStandIn(t, say(fine, true))
+	r := begin(t, known(s, s), patient)
+	c := r.dial()
+	const many = 60
+	long := "X-Long: " + strings.Repeat("x", 4<<10) + "\r\n"
+	go func() {
+		for n := range many {
+			c.Write([]byte(ask(fmt.Sprint(n), "POST", "buy", long+"Content-Length: 2\r\n") + "ab"))
+		}
+	}()
+	in := bufio.NewReader(c)
+	for n := range many {
+		got, err := http.ReadResponse(in, nil)
+		require.NoError(t, err, "answer %d", n)
+		body, _ := io.ReadAll(got.Body)
+		assert.Equal(t, "200 hello", fmt.Sprint(got.StatusCode, " ", string(body)))
+	}
+	assert.EqualValues(t, many, s.requests.Load())
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -243,7 +243,7 @@
 				panic(http.ErrAbortHandler)
 			}
 			wrote = true
-			if s.until.Load() != nil || s.yields() || k != nil && k.flood.Load() {
+			if s.until.Load() != nil || s.yields() {
 				w.Header().Set("Connection", "close") // it may have come to that while it waited
 			}
 			if pumped != nil { // before its end: what is left of it is read for a while, and nothing behind it
