--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -317,6 +317,10 @@
 	for range 2 * most {
 		r.dial()
 	}
+	within(func() bool { // none of them may come behind the next one
+		clients, _ := books.held()
+		return r.front.counters.shed.Load()+int64(clients) >= int64(2*most)
+	}, "all have come")
 	within(func() bool { return books.room() }, "the silent give way")
 	works("with silent ones all around")
 	for range 3 * most {
