--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -81,6 +81,7 @@
 	Alive     []span   // of each endpoint: listed as in service
 	Dialled   []int    // connections that each endpoint took
 	Slack     func(sidecar, endpoint int, at float64) float64
+	late      []span // when the rehearsal itself stood still or had no core: what came then is booked too late
 }
 
 type fall struct {
@@ -171,15 +172,31 @@
 	x.Sent, x.Ended, x.Left = sent, at, at
 }
 
-// Left counts exchanges whose clients left, and legs that came for these later than so many ms after that.
-func (b *Book) Left(after float64) (exchanges, legs int) {
+// Late says that the rehearsal itself was late between two times.
+func (b *Book) Late(from, to float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.late = append(b.late, span{from: from, to: to})
+}
+
+// deserted is by how much a leg came after its client had left, without what the rehearsal's own lateness may add.
+func (b *Book) deserted(x *Exchange, l *Leg) float64 {
+	after := l.At - x.Left
+	for _, s := range b.late {
+		after -= max(min(s.to, l.At)-max(s.from, x.Left), 0)
+	}
+	return after
+}
+
+// Left counts exchanges whose clients left, and legs that came for these later than the rule allows.
+func (b *Book) Left() (exchanges, legs int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, x := range b.order {
 		if x.Left > 0 {
 			exchanges++
 			for _, l := range x.legs {
-				if l.At > x.Left+after {
+				if b.deserted(x, l) > leftGrace {
 					legs++
 				}
 			}
@@ -243,7 +260,7 @@
 			broken = append(broken, Broken{Lost, x.ID, why + "\n" + b.story(x)})
 		}
 		for _, l := range x.legs {
-			if x.Left > 0 && l.At > x.Left+leftGrace {
+			if x.Left > 0 && b.deserted(x, l) > leftGrace {
 				broken = append(broken, Broken{Deserted, x.ID, fmt.Sprintf("its client left at %.0f ms, a leg came %.0f ms later\n%s", x.Left, l.At-x.Left, b.story(x))})
 				break
 			}
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -536,6 +536,7 @@
 			require.NotNil(t, got, body)
 			assert.Equal(t, 504, got.StatusCode)
 			assert.Less(t, time.Since(began), endLongest+endMargin, "SIGKILL comes 0.7 s after the longest")
+			assert.Greater(t, time.Since(began), endLongest/2, "and no sooner: there was time")
 			assert.NoError(t, <-r.ended)
 			r.ended <- nil
 		})
