--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -314,6 +314,7 @@
 		return os.ErrClosed
 	}
 	c.taken = true
+	c.whole.Store(false) // it may stand from the request before
 	if c.last = chunked; chunked {
 		c.clear = len(c.buf)
 		return nil
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -768,3 +768,25 @@
 	}
 	assert.EqualValues(t, many, s.requests.Load())
 }
+
+// What was known of one request must not be taken for the next one's on its connection: a body in chunks behind an exchange
+// of any kind was read as what stands behind a request, and thrown away.
+func TestChunksOnAKeptConnection(t *testing.T) {
+	for _, size := range []int{2, bodyMost + 16} {
+		s := newStandIn(t, say(fine, true))
+		r := begin(t, known(s), nil)
+		c, body := r.dial(), strings.Repeat("x", size)
+		for n, text := range []string{
+			ask("0", "GET", "look", ""), ask("1", "POST", "buy", "Content-Length: 2\r\n") + "ab",
+			ask("2", "POST", "buy", "Transfer-Encoding: chunked\r\n") + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, body),
+		} {
+			got, why := exchangeOn(c, text)
+			require.NotNil(t, got, why)
+			assert.Equal(t, 200, got.StatusCode, "request %d", n)
+		}
+		for range 2 {
+			<-s.seen
+		}
+		assert.Equal(t, body, (<-s.seen).Header.Get("Test-Body"))
+	}
+}
