News of the list are held 6 s after discovery can be reached, whatever failed before

Seen, by reading and with a stand-in: behind a failed call the module waited up to a quarter of ask-within, times four in a large fleet, times 1.5 by chance: up to 15 s; a call that was answered in drips (a byte within each 0.5 s) never ended. Lines at fault: New (askFirst, askMost), hearing.Read, follow (the time for the first word began after dialling). Change: Terms.LongestWait bounds the wait, chance included; the sidecar sets it to what 6 s leave beside a call that is silent to its end and one that is answered within 1 s; a line or object that began has no longer than a watch may be silent; dialling counts into the first word's time. Listed, which decides nothing, moves to state.go.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -29,8 +29,19 @@
 	listMost  = 4 << 20
 	lateReads = 16
 	dialLast  = time.Second // news of a new discovery count as told 4 s after SIGHUP: there must be time for two more
+
+	// A change counts as told so long after discovery had it and could be reached, whatever failed before. A call that
+	// began just before may fail for the whole of its time; then comes a wait, then a call that is answered within answerIn.
+	toldLast = 6 * time.Second
+	answerIn = time.Second
+	lateRead = beat / 200
 )
 
+// waitLongest is what toldLast leaves for the wait behind a call that failed, where a call may be silent for so long.
+func waitLongest(silence time.Duration) time.Duration {
+	return max(toldLast-answerIn-silence-lateReads*lateRead, beat/4)
+}
+
 // entry is one entry of a list.
 type entry struct {
 	id, addr, zone string
@@ -239,24 +250,42 @@
 type hearing struct {
 	net.Conn
 	silence time.Duration
-	late    int  // reads past their time since the last line
-	started bool // the last read ended inside a line
-	inside  bool // what was read so far ends inside an object, which may stand on several lines
+	late    int       // reads past their time since the last line
+	started bool      // the last read ended inside a line
+	inside  bool      // what was read so far ends inside an object, which may stand on several lines
+	since   time.Time // when the line or the object that is read began; zero between two
+}
+
+// goOn is until when more of what began has to come. It has no longer than silence in all: a discovery that says a byte now
+// and then would keep its news for ever.
+func (h *hearing) goOn() time.Time {
+	now := time.Now()
+	if h.since.IsZero() {
+		h.since = now
+	}
+	whole, more := h.since.Add(h.silence), now.Add(min(lineTime, h.silence))
+	if more.Before(whole) {
+		return more
+	}
+	return whole
 }
 
 func (h *hearing) Read(p []byte) (int, error) {
-	if h.inside {
-		h.SetReadDeadline(time.Now().Add(min(lineTime, h.silence)))
+	switch {
+	case h.inside:
+		h.SetReadDeadline(h.goOn())
+	case !h.started:
+		h.since = time.Time{}
 	}
 	n, err := h.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && h.late < lateReads {
 		h.late++
-		h.SetReadDeadline(time.Now().Add(beat / 200))
+		h.SetReadDeadline(time.Now().Add(lateRead))
 		n, err = h.Conn.Read(p)
 	}
 	if n > 0 && p[n-1] != '\n' {
 		h.started = true
-		h.SetReadDeadline(time.Now().Add(lineTime))
+		h.SetReadDeadline(h.goOn())
 	} else if n > 0 && h.started {
 		h.started = false
 		h.SetReadDeadline(time.Now().Add(h.silence))
@@ -271,6 +300,7 @@
 			err = fmt.Errorf("panic in the watch: %v", fault)
 		}
 	}()
+	began := time.Now()
 	dialled, err := (&net.Dialer{Timeout: min(dialLast, d.silence), KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
@@ -278,7 +308,7 @@
 	conn := &hearing{Conn: dialled, silence: d.silence}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(d.silence))
+	conn.SetDeadline(began.Add(d.silence)) // dialling takes its part of the time for the first word
 	ask := "/discovery/hosts?watch=1"
 	if after >= 0 {
 		ask += "&after=" + strconv.FormatInt(after, 10)
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -84,6 +84,83 @@
 	assert.Equal(t, 200, r.status(ask("1", "GET", "look", "")))
 }
 
+// Whatever a call did before, a change is known 6 s after discovery had it and could be reached: here from the failing call
+// on. The time to ask again stands for that of a large fleet after many failures.
+func TestToldAfterAFailedCall(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		script func(c net.Conn, list string) bool
+	}{
+		{"refused", func(c net.Conn, _ string) bool {
+			c.Write([]byte("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"))
+			return false
+		}},
+		{"reset", func(c net.Conn, _ string) bool { return hangUp(c, nil) }},
+		{"hangs", func(c net.Conn, _ string) bool { return silent(c, nil) }},
+		{"hangs behind the head", func(c net.Conn, _ string) bool {
+			c.Write([]byte(watchHead))
+			return silent(c, nil)
+		}},
+		{"half an answer", func(c net.Conn, list string) bool {
+			c.Write([]byte(watchHead + chunk(list)[:20]))
+			return silent(c, nil)
+		}},
+		{"an answer in drips", func(c net.Conn, list string) bool {
+			c.Write([]byte(watchHead))
+			for err := error(nil); err == nil; time.Sleep(100 * time.Millisecond) {
+				_, err = c.Write([]byte("1\r\n{\r\n"))
+			}
+			return false
+		}},
+		{"an indented answer in drips", func(c net.Conn, list string) bool {
+			c.Write([]byte(watchHead + "2\r\n{\n\r\n"))
+			for err := error(nil); err == nil; time.Sleep(100 * time.Millisecond) {
+				_, err = c.Write([]byte("1\r\n\n\r\n"))
+			}
+			return false
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStandIn(t, say(fine, true))
+			drained := listText(7, true, entryText("s0", s.Addr().String(), "terminating"))
+			reached := make(chan time.Time, 1)
+			d := newStandIn(t, func(conn net.Conn, _ *http.Request) bool {
+				select {
+				case reached <- time.Now():
+					return c.script(conn, drained)
+				default:
+					conn.Write([]byte(watchHead + chunk(drained)))
+					return silent(conn, nil)
+				}
+			})
+			r := begin(t, known(s), func(start *Start) {
+				start.Discovery, start.terms.Fleet, start.terms.AskWithin = d.Addr().String(), 300, 60000
+				start.terms.Knows = false // it asks at once
+			})
+			var from time.Time
+			assert.Eventually(t, func() bool { return r.loop.counters.listVersion.Load() == 7 }, 20*time.Second, time.Millisecond)
+			told := time.Now()
+			select {
+			case from = <-reached:
+			default:
+				t.Fatal("discovery was never asked")
+			}
+			assert.Less(t, told.Sub(from), toldLast)
+			assert.Equal(t, 503, r.status(ask("1", "GET", "look", "")))
+		})
+	}
+}
+
+// What is left for a wait is under the bound for any silence that a call may have.
+func TestWaitLongest(t *testing.T) {
+	for _, silence := range []time.Duration{0, time.Second, 2500 * time.Millisecond, 4 * time.Second} {
+		call := silence + lateReads*lateRead
+		assert.LessOrEqual(t, call+waitLongest(silence)+answerIn, toldLast, silence)
+	}
+	assert.Positive(t, waitLongest(time.Hour))
+}
+
 // What a watch tells takes effect on the next exchange.
 func TestWatchTells(t *testing.T) {
 	a, b := newStandIn(t, say(fine, true)), newStandIn(t, say(fine, true))
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -144,6 +144,7 @@
 		s.terms.AskWithin = 10000
 	}
 	s.terms.AskWithin = min(s.terms.AskWithin, askMost)
+	s.terms.LongestWait = logic.Millis(waitLongest(s.silence)) / logic.Millis(time.Millisecond)
 	if k := v.Get("known"); k != nil && k.Type() != fastjson.TypeNull {
 		// A list that can't be read is no reason not to start: the watch brings another.
 		known, err := decode(k)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -89,7 +89,11 @@
 	if b.pool {
 		b.roomLeast = 1 // who knows of all legs sheds by what it knows, as a single sidecar would
 	}
-	b.askFirst, b.askMost, b.askWait = patience*listBackoff, patience*listBackMost, patience*listBackoff
+	b.askFirst, b.askMost = patience*listBackoff, patience*listBackMost
+	if most := t.LongestWait / (0.5 + 1); most > 0 { // chance adds up to half of a wait
+		b.askFirst, b.askMost = min(b.askFirst, most), min(b.askMost, most)
+	}
+	b.askWait = b.askFirst
 	shortest, longest := Millis(math.Inf(1)), Millis(0)
 	for n, p := range t.Products {
 		b.products = append(b.products,
@@ -117,27 +121,6 @@
 	return b
 }
 
-func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
-	if readyAt > 0 { // told too early or too late: it is cold for longer
-		readyAt += b.startOff
-	}
-	e := b.known[id]
-	if e == nil {
-		e = &endpoint{id: id, mark: markOf(id), name: KeyOf([]byte(id))}
-		b.known[id], b.marks[e.mark], b.endpoints = e, e, append(b.endpoints, e)
-		b.renew(e)
-	} else if readyAt > e.readyAt {
-		b.renew(e) // a restart: what was known of the old process misleads about the new one
-	}
-	// Back by hand means restarted, whatever older start the list still tells.
-	for int(max(zone, b.zone)) >= len(b.zones) {
-		b.zones = append(b.zones, tried{})
-	}
-	e.zone, e.cell, e.size, e.readyAt = zone, cell, cmp.Or(max(size, 0), 1), max(readyAt, b.back[id], 0)
-	e.listed, e.up = h != Gone, h == Running
-	e.running = e.up && !b.banned[id]
-}
-
 // Out takes an endpoint out by hand: from here on it gets nothing new until Back, whatever the list says.
 func (b *Balancer) Out(id EndpointID) {
 	b.banned[id] = true
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 func TestWeight(t *testing.T) {
@@ -549,6 +551,37 @@
 	assert.Len(t, waits, 40)
 }
 
+// However long a deployment lets its sidecars go without asking, and however many there are, no wait behind a failed call is
+// longer than its bound, and all of them don't ask in step.
+func TestWaitsForTheListAreBounded(t *testing.T) {
+	for _, within := range []Millis{100, 1000, 4000, 10000, 60000} {
+		for _, fleet := range []int{1, 5, 20, 30, 350, 1024} {
+			for _, most := range []Millis{0, 500, 2340} {
+				waits := map[string]bool{}
+				for seed := range uint64(8) {
+					r := &record{}
+					b := New(Terms{Seed: seed, Fleet: fleet, MustAsk: true, Knows: true, AskWithin: within, LongestWait: most}, r, 1000)
+					for range 12 {
+						b.ListFailed()
+					}
+					unbounded := within * Millis(1+listCrowd*(1-math.Min(roomLeast/float64(fleet), 1))) * listBackMost
+					for _, line := range r.take("wake 1 ") {
+						var wait float64
+						_, err := fmt.Sscanf(line, "wake 1 %g", &wait)
+						require.NoError(t, err, line)
+						waits[line] = true
+						if most > 0 {
+							assert.LessOrEqual(t, wait, float64(most)+1, "%v %d", within, fleet)
+						}
+						assert.LessOrEqual(t, wait, 1.5*float64(unbounded)+1, "%v %d", within, fleet)
+					}
+				}
+				assert.Greater(t, len(waits), 60, "spread")
+			}
+		}
+	}
+}
+
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	for name, change := range map[string]func(b *Balancer){
 		"plain": func(*Balancer) {}, "keys": func(b *Balancer) { b.warmKeys = true },
--- a/logic/state.go
+++ b/logic/state.go
@@ -317,6 +317,27 @@
 	}
 }
 
+func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
+	if readyAt > 0 { // told too early or too late: it is cold for longer
+		readyAt += b.startOff
+	}
+	e := b.known[id]
+	if e == nil {
+		e = &endpoint{id: id, mark: markOf(id), name: KeyOf([]byte(id))}
+		b.known[id], b.marks[e.mark], b.endpoints = e, e, append(b.endpoints, e)
+		b.renew(e)
+	} else if readyAt > e.readyAt {
+		b.renew(e) // a restart: what was known of the old process misleads about the new one
+	}
+	// Back by hand means restarted, whatever older start the list still tells.
+	for int(max(zone, b.zone)) >= len(b.zones) {
+		b.zones = append(b.zones, tried{})
+	}
+	e.zone, e.cell, e.size, e.readyAt = zone, cell, cmp.Or(max(size, 0), 1), max(readyAt, b.back[id], 0)
+	e.listed, e.up = h != Gone, h == Running
+	e.running = e.up && !b.banned[id]
+}
+
 // Began hands over a streamed answer's start, after which the leg is the client's own.
 func (b *Balancer) Began(id ExchangeID, n LegNo) {
 	if x := b.open[id]; x != nil && int(n) < len(x.legs) && !x.legs[n].ended {
--- a/logic/types.go
+++ b/logic/types.go
@@ -97,6 +97,7 @@
 	MustAsk                 bool   // the list comes only when asked for
 	Knows                   bool   // an old list follows at once
 	AskWithin               Millis
+	LongestWait             Millis // between a call for the list that failed and the next; 0 where nothing bounds it
 	Cold, Fall              Millis
 	ColdFrom, FallMultiple  float64
 	CrossPrice              float64
