A long request whose client has left begins no leg, and its handler waits for its pump

Seen with a test: a long request in chunks, sent whole, its client gone (FIN or RST) while its leg dialled, was sent on when the connection came up, however long after. Line at fault: exchange.deserted looked at clients of kept requests only. With the look, a race showed under -race: the handler returned while the pump still read the body (the nobody path of ServeHTTP). Change: the look counts for all; that path waits for its pump. Not seen, by the kernel: an end that stands behind bytes for which its window had no room; the client's own kernel holds it back.

--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -101,6 +101,46 @@
 	}
 }
 
+// A long request whose client has sent all of it and left while its leg dials: the rest stands in the kernel's buffer, before
+// the end, and would be sent on whole.
+func TestClientOfALongRequestLeavesWhileItsLegDials(t *testing.T) {
+	for _, c := range []struct{ name, head, end string }{
+		{"of a length", "Content-Length: 81920\r\n", ""},
+		{"in chunks", "Transfer-Encoding: chunked\r\n", "\r\n0\r\n\r\n"},
+	} {
+		for _, how := range []string{"FIN", "RST"} {
+			t.Run(fmt.Sprint(c.name, how), func(t *testing.T) {
+				t.Parallel()
+				s := newStandIn(t, say(fine, true))
+				r := begin(t, known(s), func(s *Start) { s.MemoryMB = 1 }) // what is longer than 64 KiB flows
+				up, goOn := r.gatedDial(1)
+				conn := r.dial().(*net.TCPConn)
+				conn.SetWriteBuffer(1 << 20)
+				body := strings.Repeat("x", 81920)
+				if c.end != "" {
+					body = "14000\r\n" + body
+				}
+				sent := make(chan error, 1)
+				go func() {
+					_, err := conn.Write([]byte(ask("1", "POST", "buy", c.head) + body + c.end))
+					sent <- err
+				}()
+				<-up
+				require.NoError(t, <-sent)
+				leave(conn, how)
+				within(t, "its end has come", func() bool {
+					n := r.front.counters
+					return n.badInput.Load()+n.left.Load() == 1 || r.theOne().look() == ended
+				})
+				goOn()
+				within(t, "it is over", func() bool { return r.loop.held.Load()+r.front.handlers.Load() == 0 })
+				within(t, "and its leg too", func() bool { return r.openLegs() == 0 })
+				assert.Zero(t, s.requests.Load(), "never sent on")
+			})
+		}
+	}
+}
+
 // patient gives all clients a minute: what happens in these tests waits for no clock.
 func patient(s *Start) {
 	for n := range s.terms.Products {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -54,7 +54,7 @@
 // deserted looks whether anybody waits for the answer. A client's end may stand unread behind its request, in a process
 // that stood still or is short of time.
 func (x *exchange) deserted() bool {
-	return seeded != "deserted" && x != nil && (x.left.Load() || x.client != nil && x.request.rest == nil && x.client.look() == ended)
+	return seeded != "deserted" && x != nil && (x.left.Load() || x.client != nil && x.client.look() == ended)
 }
 
 // nobody in an answer's place tells the server that its client has left.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -236,6 +236,11 @@
 		select {
 		case a := <-x.answer:
 			if a.status == nobody { // the loop was told that the client has left
+				if pumped != nil { // the body is read by nobody but its pump, and not once the handler has ended
+					w.Header().Set("Connection", "close")
+					defer func() { <-pumped }()
+					rest.drop()
+				}
 				answer{status: http.StatusBadGateway}.write(w)
 				return
 			}
