--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -336,6 +336,59 @@
 	near(t, 0, b.overload())
 }
 
+// Legs that are lost while answers come as fast as ever, to a cut, lost answers or work that varies much beside its time, are
+// no overload: dismissing saves none of them. Answers that all take longer are one, and so is an endpoint's word that it is
+// full. What an instance saw before it knew its products' best does not hold it back for ever.
+func TestLostLegsAloneAreNoOverload(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		slower      float64 // answers' time over that of the first part
+		lost, full  int     // legs of ten
+		least, most int     // dismissed of 300 in the second part
+	}{
+		{"all well", 1, 0, 0, 0, 0}, {"a fifth lost", 1, 2, 0, 0, 15}, {"nearly all lost", 1, 8, 0, 150, 300},
+		{"slower, none lost", 2.5, 0, 0, 0, 0}, {"slower, a third lost", 2.5, 3, 0, 60, 300}, {"full, a third lost", 1, 1, 3, 60, 300},
+	} {
+		b, r := begin("abcdefghijkl")
+		b.roomLeast, b.fleet = roomLeast/300, 300
+		dice, dismissed := uint64(1), 0
+		for n := range 400 {
+			if n == 100 {
+				dismissed = 0
+			}
+			b.At(b.now + 250)
+			b.pulse()
+			x := ExchangeID(fmt.Sprint(n))
+			if arrive(b, r, x, singleUse) == "" {
+				dismissed++
+				b.Left(x)
+				continue
+			}
+			dice = dice*6364136223846793005 + 1442695040888963407
+			tenth, took := int(dice>>40%10), 40*math.Exp(float64(dice>>33%1000)/1000-0.5)
+			switch {
+			case n < 100:
+			case tenth < c.lost:
+				b.At(b.now + 1000)
+				b.Ended(x, 0, TimedOut, 1000, false)
+				continue
+			case tenth < c.lost+c.full:
+				leg := LegNo(0)
+				for b.Ended(x, leg, Full, 1, false); sentTo(r) != ""; b.Ended(x, leg, Full, 1, false) {
+					leg++ // full everywhere
+				}
+				b.Left(x)
+				continue
+			default:
+				took *= c.slower
+			}
+			b.At(b.now + Millis(took))
+			b.Ended(x, 0, Satisfied, Millis(took), true)
+		}
+		assert.True(t, dismissed >= c.least && dismissed <= c.most, "%s: %d dismissed, slowed %.2f, lost %.2f %.2f", c.name, dismissed, b.slowed, b.lost, b.lostLong)
+	}
+}
+
 // Quick failures must not draw traffic by their short queue.
 func TestFastErrors(t *testing.T) {
 	b, r := begin("abc")
