Put back at all consoles at once, an endpoint is not pushed over by their first legs

Seen, by reading and in a module test: each sidecar to which staff put an endpoint back earned its first leg within three fall times, whatever the fleet: 350 sidecars sent 101 in one fall time, 1,024 sent 143, where 53 are allowed, chance included. Line at fault: the floor for called in pulse. Change: that floor's sum over the fleet is no more than 1.5 slots can do when cold. Up to some 80 sidecars it is as before. Checked: TestBackAtAllConsoles, fleets of 1 to 1,024; failed at 350 and 1,024 without the change.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,8 @@
 	roomUse, roomRise, roomFall    = 0.33, 0.02, 0.8  // rooms in use, or none grows; its growth; what is left
 	usualAtStart, usualMemory      = 0.25, 30000.0    // of the shortest; milliseconds of a product's usual time
 	doubtAt, trustAt               = 0.25, 0.8        // share of bad outcomes; draw that gives a trial
-	coldMargin, calledBy           = 0.65, 3.0        // of the fall multiple; fall times for the first leg back
+	coldMargin, calledBy           = 0.65, 3.0        // of the fall multiple; fall times for the first leg back,
+	calledSlots                    = 1.5              // if all sidecars' first are no more than so many slots can do
 	retryEarn, retryMost           = 0.15, 12.0       // further legs that an exchange's end earns; most held
 	restShare, restMost            = 0.25, 7          // of the longest expected time, doubled so many times
 	failGain, rememberShare        = 0.05, 0.8        // of a leg in its product's share; of a group's memory
@@ -1004,7 +1005,8 @@
 			}
 			allowed := b.coldRate * b.capacityNow(e) * own
 			if e.called && b.fall > 0 {
-				allowed = math.Max(allowed, 1/float64(calledBy*b.fall))
+				sum := calledSlots * b.coldRate * b.capacityNow(e) / b.usual // all are told at once, by one command
+				allowed = math.Max(allowed, math.Min(1/float64(calledBy*b.fall), sum/b.fleet))
 			}
 			e.tokens = math.Min(e.tokens+allowed*float64(b.beat), math.Max(1, allowed*float64(b.fall)/4))
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1023,6 +1023,64 @@
 	assert.Empty(t, b.back, "what staff said is not kept for ever")
 }
 
+// One command puts an endpoint back at all consoles, and each sidecar's first leg goes there: their sum must not push it over.
+// An endpoint of two slots is taken, of which the settings allow n legs in the time of a fall when it has just started.
+func TestBackAtAllConsoles(t *testing.T) {
+	for _, fleet := range []int{1, 5, 20, 30, 80, 350, 1024} {
+		type one struct {
+			*Balancer
+			*record
+		}
+		all, out, dice := []one{}, map[ExchangeID]*Balancer{}, uint64(fleet)
+		for n := range fleet {
+			b, r := begin("abcdefghij")
+			b.dice ^= uint64(n+1) * 0x9e3779b97f4a7c15
+			b.fleet, b.roomLeast, b.usual = float64(fleet), math.Min(roomLeast/float64(fleet), 1), 50
+			for p := range b.products {
+				b.products[p].usual = 50
+			}
+			b.Back("never out")
+			b.Out("a")
+			b.At(b.now + 1)
+			b.Back("a")
+			all = append(all, one{b, r})
+		}
+		b := all[0].Balancer
+		began, at := b.now, []Millis{}
+		for b.now < began+5*b.fall {
+			for _, o := range all {
+				o.At(o.now + o.beat)
+				o.Alarm(0)
+				o.take()
+			}
+			for n := range 40 { // half of what ten endpoints of two slots can do
+				dice = dice*6364136223846793005 + 1442695040888963407
+				o, x := all[int(dice>>33)%fleet], ExchangeID(fmt.Sprint(n, b.now))
+				o.Arrive(x, replayable, -1, 0, o.now+4000, 0, false)
+				if sentTo(o.record) == "a" {
+					at = append(at, o.now)
+				}
+				out[x] = o.Balancer
+			}
+			for x, b := range out {
+				b.Ended(x, 0, Satisfied, 50, true)
+				delete(out, x)
+			}
+		}
+		allowed := 3 * 0.1 * 2 * float64(b.fall) / 50
+		allowed += allowed * 9 * float64(5*b.fall/b.cold) / 2 // it warms up meanwhile: half of that on the mean
+		most, from := 0, 0
+		for to := range at {
+			for at[from] <= at[to]-b.fall {
+				from++
+			}
+			most = max(most, to-from+1)
+		}
+		assert.LessOrEqual(t, float64(most), allowed+2*math.Sqrt(allowed)+2, "%d sidecars", fleet)
+		assert.Positive(t, most, "%d sidecars: it is used again", fleet)
+	}
+}
+
 // An endpoint out by hand gets neither the copy, nor the further leg, nor what waits for room.
 func TestNothingMoreWhileOut(t *testing.T) {
 	b, r := begin("ab")
