Processes before a discovery that is down or busy: descriptors, and nine in ten ready within 10 s

TestIdleClientsHoldAllDescriptors: a real process under ulimit -n 128, 200 idle clients that come again as they are sent away, discovery back: its list within 6 s, what was in hand answered.

--- /dev/null
+++ b/cmd/lynxjunction/fleet_test.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// told is how long after discovery had it and could be reached a change counts as told, whatever failed before.
+const told = 6 * time.Second
+
+// beside starts the test's own program as a sidecar, in a shell that may set limits first.
+func beside(t *testing.T, limits, config string) {
+	p := exec.Command("/bin/sh", "-c", limits+` exec "$0"`, os.Args[0])
+	p.Env = append(os.Environ(), "LYNXJUNCTION_TEST_SERVE=1", "RELAY_CONFIG="+config)
+	require.NoError(t, p.Start())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Wait() }()
+	t.Cleanup(func() {
+		p.Process.Kill()
+		<-ended
+	})
+}
+
+// get asks a sidecar on a new connection for one of its own pages; 0 is no answer.
+func get(addr, path string) (int, string) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return 0, ""
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", path)
+	got, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, ""
+	}
+	body, _ := io.ReadAll(got.Body)
+	return got.StatusCode, string(body)
+}
+
+func startFile(t *testing.T, dir, listen, discovery, known string, sockets, fleet int) string {
+	path := filepath.Join(dir, strings.NewReplacer(":", "-").Replace(listen)+".json")
+	require.NoError(t, os.WriteFile(path, []byte(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"%x",`+
+		`"limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":%s,"settings":{"fleet-size":%d,"tick":1,`+
+		`"allowed":{"max-legs":3,"may-cancel":true,"second-copies":true,"idle-close":15000},"guarantees":{"ask-within":10000},"products":[`+
+		`{"name":"look","effect":"retryable","expected-time":20000,"abandon-time":25000,"value":1,"overdue-value":0.5}]}}`,
+		listen, discovery, len(path)*7919+int(time.Now().UnixNano()%1e9), sockets, known, fleet)), 0o600))
+	return path
+}
+
+func listOf(version int, addrs ...string) string {
+	entries := []string{}
+	for n, a := range addrs {
+		entries = append(entries, fmt.Sprintf(`{"id":"s%d","addr":%q,"zone":"a","cell":1,"state":"in_service","weight":1,"started_ms":0}`, n, a))
+	}
+	return fmt.Sprintf(`{"version":%d,"full":true,"servers":[%s]}`, version, strings.Join(entries, ","))
+}
+
+// Idle clients, some with half a head, take every descriptor that there is while discovery is down. When it is back the list
+// is there in time, what was in hand is answered, and what comes then finds its way out too.
+func TestIdleClientsHoldAllDescriptors(t *testing.T) {
+	gate := make(chan bool)
+	w := &world{T: t}
+	at := w.serve(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/look/held" {
+			<-gate
+		}
+		io.WriteString(rw, "hello")
+	})
+	listen, discovery := freePort(t), freePort(t)
+	beside(t, "ulimit -n 128;", startFile(t, t.TempDir(), listen, discovery, listOf(1, at), 512, 300))
+	require.Eventually(t, func() bool { s, _ := get(listen, "/up"); return s == 200 }, 10*time.Second, 10*time.Millisecond)
+	request := func(id, path string) (net.Conn, string) {
+		c, err := net.Dial("tcp", listen)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return c, fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Class: look\r\nRequest-Timeout: 24000m\r\n\r\n", path, id)
+	}
+	held, text := request("held", "/look/held")
+	io.WriteString(held, text)
+	over := make(chan bool)
+	defer close(over)
+	for n := range 200 {
+		_, text := request(fmt.Sprint("idle", n), "/look/x")
+		go func() { // who is sent away comes again, so that they are never fewer
+			for {
+				c, err := net.Dial("tcp", listen)
+				if err != nil {
+					return
+				}
+				switch n % 3 {
+				case 1:
+					io.WriteString(c, text[:20])
+				case 2: // and rests on the connection
+					io.WriteString(c, text)
+				}
+				ended := make(chan bool)
+				go func() {
+					io.Copy(io.Discard, c)
+					close(ended)
+				}()
+				select {
+				case <-ended:
+					c.Close()
+				case <-over:
+					c.Close()
+					return
+				}
+			}
+		}()
+	}
+	require.Eventually(t, func() bool {
+		_, page := get(listen, "/counters")
+		return strings.Contains(page, "\nclients_shed ") && !strings.Contains(page, "\nclients_shed 0\n")
+	}, 10*time.Second, 10*time.Millisecond, "idle ones give way")
+	ln, err := net.Listen("tcp", discovery)
+	require.NoError(t, err)
+	back := time.Now()
+	srv := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		io.WriteString(rw, listOf(7, at)+"\n")
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})}
+	go srv.Serve(ln)
+	defer srv.Close()
+	for heard := false; !heard; {
+		_, page := get(listen, "/counters")
+		heard = strings.Contains(page, "\nlist_version 7\n")
+		require.Less(t, time.Since(back), told, "the list is there")
+	}
+	close(gate)
+	held.SetDeadline(time.Now().Add(20 * time.Second))
+	got, err := http.ReadResponse(bufio.NewReader(held), nil)
+	require.NoError(t, err, "what was in hand is not lost")
+	assert.Equal(t, 200, got.StatusCode)
+	require.Eventually(t, func() bool { // amid those that come again it may be told to come back, which is no loss
+		c, text := request(fmt.Sprint("new", time.Now().UnixNano()), "/look/new")
+		defer c.Close()
+		io.WriteString(c, text)
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		got, err := http.ReadResponse(bufio.NewReader(c), nil)
+		return err == nil && got.StatusCode == 200
+	}, 20*time.Second, 10*time.Millisecond)
+}
+
+// Many processes of a large fleet are restarted together, with no list, while discovery is down; when it is back it takes calls
+// in turn, and refuses those that waited. Nine in ten are ready within 10 s of their start.
+func TestManyRestartedWhileDiscoveryIsBusy(t *testing.T) {
+	const processes, down, patience, each = 30, 5 * time.Second, time.Second, 50 * time.Millisecond
+	w := &world{T: t}
+	at := w.serve(func(rw http.ResponseWriter, r *http.Request) { io.WriteString(rw, "hello") })
+	began, turn := time.Now(), sync.Mutex{}
+	discovery := w.serve(func(rw http.ResponseWriter, r *http.Request) {
+		came := time.Now()
+		turn.Lock()
+		if time.Since(began) < down || time.Since(came) > patience {
+			turn.Unlock()
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		time.Sleep(each)
+		turn.Unlock()
+		io.WriteString(rw, listOf(7, at)+"\n")
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	dir, ready := t.TempDir(), make(chan time.Duration, processes)
+	for range processes {
+		listen := freePort(t)
+		started := time.Now()
+		beside(t, "", startFile(t, dir, listen, discovery, "null", 512, 350))
+		go func() {
+			for status := 0; status != 200 && time.Since(started) < 30*time.Second; time.Sleep(20 * time.Millisecond) {
+				status, _ = get(listen, "/up")
+			}
+			ready <- time.Since(started)
+		}()
+	}
+	late := 0
+	for range processes {
+		if took := <-ready; took > 10*time.Second {
+			late++
+		}
+	}
+	assert.LessOrEqual(t, late, processes/10)
+}
