--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -374,3 +374,45 @@
 		assert.Contains(t, s.String(), "; known: not a list")
 	}
 }
+
+// Lists of more than a thousand endpoints, whole and in changes, on one line or many, are followed like short ones; nothing of
+// the endpoints before stays behind.
+func TestListOfAThousand(t *testing.T) {
+	const many = 1100
+	s := newStandIn(t, say(fine, true))
+	at := s.Addr().String()
+	named := func(from, to int, state string) (entries []string) {
+		for n := from; n < to; n++ {
+			entries = append(entries, entryText(fmt.Sprint("s", n), at, state))
+		}
+		return entries
+	}
+	tell := make(chan string)
+	defer close(tell)
+	d := newStandIn(t, func(c net.Conn, _ *http.Request) bool {
+		c.Write([]byte(watchHead))
+		for line := range tell {
+			c.Write([]byte(chunk(line)))
+		}
+		return false
+	})
+	r := begin(t, "null", func(start *Start) { start.Discovery, start.terms.Fleet = d.Addr().String(), 1024 })
+	for n, c := range []struct {
+		name, line string
+		listed     int64
+		status     int
+	}{
+		{"whole", listText(1, true, named(0, many, "in_service")...), many, 200},
+		{"all but one drain", listText(2, false, named(1, many, "terminating")...), many, 200},
+		{"over many lines", strings.ReplaceAll(listText(3, false, named(many, 2*many, "in_service")...), ",", ",\n  "), 2 * many, 200},
+		{"the first ones go", listText(4, false, named(0, many, "terminated")...), many, 200},
+		{"all drain", listText(5, false, named(many, 2*many, "terminating")...), many, 503},
+		{"a whole one of others", listText(6, true, named(5000, 5000+many, "in_service")...), many, 200},
+	} {
+		tell <- c.line
+		within(t, c.name, func() bool { return r.front.counters.listVersion.Load() == int64(n+1) })
+		assert.Equal(t, c.listed, r.front.counters.endpoints.Load(), c.name)
+		assert.Equal(t, c.status, r.status(ask(fmt.Sprint(n), "GET", "look", "")), c.name)
+	}
+	assert.Len(t, r.loop.up.all(), many)
+}
