Placement: a product bound to zones or kinds of machine is sent nowhere else, at any leg

Change: products[].runs-in and allowed-on reach the module by adapter and start file; what is open to a product is worked out when an endpoint is listed; gate alone decides. What is bound waits for its own and holds nobody else back (drain); doubts and streaks count among what is open to it. In the sidecar nothing is written to an endpoint that moved to another zone or became another kind while a leg dialled. Settings are checked, and lynxjunction check shows them. Listed takes a kind. Checked: TestPlacementIsKept (30 runs of 4,000 random events; fails without the line in gate), TestWhatIsBoundHoldsNobodyBack, TestPlacementOnSockets, TestEndpointMovesZoneWhileALegDials (fails without the look), TestCheckNamesTheKey.

--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -830,3 +830,101 @@
 		assert.Equal(t, body, (<-s.seen).Header.Get("Test-Body"))
 	}
 }
+
+// placedText is an entry of a zone and a kind of machine.
+func placedText(id, addr, zone, kind, state string) string {
+	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":%q,"kind":%q,"cell":1,"state":%q,"weight":1.0,"started_ms":0}`, id, addr, zone, kind, state)
+}
+
+// bound has buy go to machines of kind k in zone a only.
+func bound(s *Start) {
+	s.terms.Products[1].RunsIn = []logic.ZoneID{s.names.Zone([]byte("a"))}
+	s.terms.Products[1].AllowedOn = []logic.KindID{s.names.Kind([]byte("k"))}
+}
+
+// A product that is bound to a zone and a kind of machine goes nowhere else, whatever the list makes of its endpoints; others
+// go anywhere meanwhile. A start file that is read anew does not open what this process was told to keep to.
+func TestPlacementOnSockets(t *testing.T) {
+	right, other, wrong := newStandIn(t, say(fine, true)), newStandIn(t, say(fine, true)), newStandIn(t, say(fine, true))
+	r8, o, w := right.Addr().String(), other.Addr().String(), wrong.Addr().String()
+	tell := make(chan string)
+	d := newStandIn(t, func(c net.Conn, _ *http.Request) bool {
+		c.Write([]byte(watchHead))
+		for line := range tell {
+			c.Write([]byte(chunk(line)))
+		}
+		return false
+	})
+	defer close(tell)
+	r := begin(t, "null", func(s *Start) {
+		s.Discovery = d.Addr().String()
+		bound(s)
+	})
+	for n, c := range []struct {
+		name, line string
+		to         *standIn // of buy; nil for nowhere
+	}{
+		{"one is open to it", listText(1, true, placedText("s0", r8, "a", "k", "in_service"), placedText("s1", o, "b", "k", "in_service"),
+			placedText("s2", w, "a", "l", "in_service")), right},
+		{"that one drains", listText(2, false, placedText("s0", r8, "a", "k", "terminating")), nil},
+		{"another moves in", listText(3, false, placedText("s1", o, "a", "k", "in_service")), other},
+		{"it becomes another kind", listText(4, false, placedText("s1", o, "a", "l", "in_service")), nil},
+		{"a whole list without any", listText(5, true, placedText("s2", w, "a", "l", "in_service")), nil},
+		{"the first is back", listText(6, false, placedText("s0", r8, "a", "k", "in_service")), right},
+	} {
+		tell <- c.line
+		within(t, c.name, func() bool { return r.front.counters.listVersion.Load() == int64(n+1) })
+		for _, s := range []*standIn{right, other, wrong} {
+			for len(s.seen) > 0 {
+				<-s.seen
+			}
+		}
+		for k := range 12 {
+			status := 503
+			if c.to != nil {
+				status = 200
+			}
+			require.Equal(t, status, r.status(ask(fmt.Sprint("b", n, "-", k), "POST", "buy", "Content-Length: 0\r\n")), c.name)
+			require.Equal(t, 200, r.status(ask(fmt.Sprint("l", n, "-", k), "GET", "look", "")), c.name)
+		}
+		bought := map[*standIn]int{}
+		for _, s := range []*standIn{right, other, wrong} {
+			for len(s.seen) > 0 {
+				if got := <-s.seen; got.Method == "POST" {
+					bought[s]++
+				}
+			}
+		}
+		if c.to == nil {
+			assert.Empty(t, bought, c.name)
+		} else {
+			assert.Equal(t, map[*standIn]int{c.to: 12}, bought, c.name)
+		}
+	}
+}
+
+// The list moves an endpoint to another zone while a leg of a bound product dials it: nothing is written there.
+func TestEndpointMovesZoneWhileALegDials(t *testing.T) {
+	for _, c := range []struct{ name, zone, kind string }{{"zone", "b", "k"}, {"kind", "a", "l"}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStandIn(t, say(fine, true))
+			at := s.Addr().String()
+			r := begin(t, listText(1, true, placedText("s0", at, "a", "k", "in_service")), bound)
+			up, goOn := r.gatedDial(1)
+			answer := make(chan int, 1)
+			go func() { answer <- r.status(ask("1", "POST", "buy", "Content-Length: 0\r\n")) }()
+			<-up
+			r.loop.postFirst(listing{inventory: inventory{version: 2, servers: []entry{{id: "s0", addr: at, zone: c.zone, kind: c.kind,
+				cell: 1, running: true, weight: 1}}}, fromDisk: true})
+			within(t, "it is booked", func() bool {
+				there := make(chan [2]string)
+				r.loop.post(probe(func(l *loop) { there <- l.up.find("s0").stands() }))
+				return <-there == [2]string{c.zone, c.kind}
+			})
+			goOn()
+			assert.Equal(t, 503, <-answer)
+			assert.Zero(t, s.requests.Load())
+		})
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -45,6 +45,7 @@
 // entry is one entry of a list.
 type entry struct {
 	id, addr, zone string
+	kind           string // of machine
 	cell           logic.CellID
 	running, gone  bool
 	weight         float64
@@ -76,7 +77,7 @@
 	for _, e := range list.GetArray() {
 		s := entry{
 			id: string(e.GetStringBytes("id")), addr: string(e.GetStringBytes("addr")),
-			zone: string(e.GetStringBytes("zone")), cell: logic.CellID(e.GetInt("cell")),
+			zone: string(e.GetStringBytes("zone")), kind: string(e.GetStringBytes("kind")), cell: logic.CellID(e.GetInt("cell")),
 			running: string(e.GetStringBytes("state")) == "in_service" || seeded == "drains" && string(e.GetStringBytes("state")) == "terminating",
 			gone:    string(e.GetStringBytes("state")) == "terminated",
 			weight:  e.GetFloat64("weight"), started: terms.Millis(e, "started_ms"),
@@ -103,6 +104,7 @@
 		s.Set("id", a.NewString(e.id))
 		s.Set("addr", a.NewString(e.addr))
 		s.Set("zone", a.NewString(e.zone))
+		s.Set("kind", a.NewString(e.kind))
 		s.Set("cell", a.NewNumberInt(int(e.cell)))
 		s.Set("state", a.NewString(state))
 		s.Set("weight", a.NewNumberFloat64(e.weight))
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -499,10 +499,11 @@
 			l.list.drop(id)
 		} else {
 			l.up.list(id, s.addr, health == logic.Running)
+			l.up.stands(id, s.zone, s.kind)
 			l.list.mark(id, s)
 			l.hands.Listed(s.id)
 		}
-		l.module.Listed(id, health, l.list.zones.Zone([]byte(s.zone)), s.cell, s.weight, s.started)
+		l.module.Listed(id, health, l.list.zones.Zone([]byte(s.zone)), l.list.zones.Kind([]byte(s.kind)), s.cell, s.weight, s.started)
 	}
 	if full {
 		for _, id := range l.list.missing() {
@@ -582,7 +583,7 @@
 		over.fault = &legError{outcome: logic.NotSent}
 	} else {
 		g.to.mu.Lock()
-		g.addr = g.to.addr
+		g.addr, g.place = g.to.addr, g.to.place
 		g.to.mu.Unlock()
 	}
 	go func() {
@@ -611,6 +612,7 @@
 		return
 	}
 	p := l.products[x.product]
+	g.bound = p.RunsIn != nil || p.AllowedOn != nil
 	g.patient = p.Effect == logic.SingleUse
 	if p.Effect == logic.Referenced && p.Remember > 0 {
 		for _, earlier := range x.legs { // the first that may have run
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -55,6 +55,7 @@
 	streams                 int           // exchanges on a connection
 	messages                messenger     // nil for none
 	lists                   pusher        // nil for none
+	placement               []string      // which products go where only, in words
 	lasting                 string        // limits and settings as written: they hold until a restart
 }
 
@@ -102,6 +103,13 @@
 		connect:   terms.Millis(settings.Get("allowed"), "connect-timeout"),
 		idleClose: terms.Millis(settings.Get("allowed"), "idle-close"), silence: silence,
 	}
+	for _, p := range settings.GetArray("products") {
+		for _, to := range []struct{ key, words string }{{"runs-in", "in"}, {"allowed-on", "on"}} {
+			if list := p.Get(to.key); list != nil && list.Type() != fastjson.TypeNull {
+				s.placement = append(s.placement, fmt.Sprintf("%s goes to endpoints %s %s only", p.GetStringBytes("name"), to.words, list))
+			}
+		}
+	}
 	s.lasting = string(settings.MarshalTo(nil))
 	if limits != nil {
 		s.lasting += string(limits.MarshalTo(nil))
@@ -171,6 +179,9 @@
 	if s.pushed {
 		text += "; lists are pushed to the agent there"
 	}
+	for _, line := range s.placement {
+		text += "; " + line
+	}
 	if err := s.lacks(); err != nil {
 		text += "; can't serve: " + err.Error()
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -97,7 +97,9 @@
 	of        *exchange                 // nil for none
 	moot      atomic.Bool               // its exchange is over
 	quit      atomic.Pointer[context.CancelFunc]
-	patient   bool // nobody could repeat it: an answer that pauses is waited for
+	bound     bool      // its product may be sent to some places and kinds of machine only
+	place     [2]string // zone and kind of its endpoint when it was chosen
+	patient   bool      // nobody could repeat it: an answer that pauses is waited for
 
 	began        func(*reply) // its answer is passed on
 	spent, whole func()       // its request can't be sent again; its last byte is written
@@ -126,6 +128,7 @@
 	errForgotten = errors.New("its mark may be forgotten before the first byte")
 	errCalledOff = errors.New("called off before the first byte")
 	errOver      = errors.New("its exchange was over before the first byte")
+	errPlace     = errors.New("its endpoint's zone or kind changed before the first byte")
 	errNobody    = errors.New("its client had left before the first byte")
 )
 
@@ -139,6 +142,8 @@
 		return failed(writing, errOver, true)
 	case g.of.deserted():
 		return failed(writing, errNobody, true)
+	case g.bound && g.to.stands() != g.place:
+		return failed(writing, errPlace, false)
 	case !g.to.takes(k.addr):
 		return failed(writing, errDrains, false)
 	case !g.beginLast.IsZero() && time.Now().After(g.beginLast):
@@ -161,11 +166,12 @@
 
 // endpoint is where one server listens, and what connections to it are idle.
 type endpoint struct {
-	shut atomic.Bool // it drains, is gone or out by hand: no first byte is written to it
-	mu   sync.Mutex
-	up   bool // by the list
-	addr string
-	idle []*link // the one used last at the end
+	shut  atomic.Bool // it drains, is gone or out by hand: no first byte is written to it
+	mu    sync.Mutex
+	up    bool // by the list
+	addr  string
+	place [2]string // zone and kind, by the list
+	idle  []*link   // the one used last at the end
 }
 
 // takes tells whether a first byte may be written to it there.
@@ -178,6 +184,12 @@
 	return e.addr == addr
 }
 
+func (e *endpoint) stands() [2]string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.place
+}
+
 // link is one connection to an endpoint.
 type link struct {
 	conn   net.Conn
@@ -262,6 +274,15 @@
 	u.settle(e, addr, running, out)
 }
 
+// stands takes an endpoint's zone and kind, which may change under way.
+func (u *upstream) stands(id logic.EndpointID, zone, kind string) {
+	if e := u.find(id); e != nil {
+		e.mu.Lock()
+		e.place = [2]string{zone, kind}
+		e.mu.Unlock()
+	}
+}
+
 // byHand takes an endpoint out, or ends that; the list's word stands beside it.
 func (u *upstream) byHand(id logic.EndpointID, out bool) {
 	u.mu.Lock()
--- a/internal/terms/check.go
+++ b/internal/terms/check.go
@@ -49,6 +49,13 @@
 			}
 		}
 	}
+	for n, p := range settings.GetArray("products") {
+		for _, key := range []string{"runs-in", "allowed-on"} {
+			if err := names(fmt.Sprintf("settings.products[%d].%s", n, key), p.Get(key)); err != nil {
+				return err
+			}
+		}
+	}
 	for key, most := range perTenant {
 		for n, t := range settings.GetArray("tenants") {
 			if err := figure(fmt.Sprintf("settings.tenants[%d]", n), t.Get(key), 0, most, key); err != nil {
@@ -73,6 +80,22 @@
 	return nil
 }
 
+// names refuses what is no list of names. One that no endpoint has yet is legal: nothing is sent until one has.
+func names(at string, v *fastjson.Value) error {
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return nil
+	}
+	if v.Type() != fastjson.TypeArray || len(v.GetArray()) == 0 {
+		return fmt.Errorf("%s: %s is no list of names", at, v)
+	}
+	for n, e := range v.GetArray() {
+		if e.Type() != fastjson.TypeString || len(e.GetStringBytes()) == 0 {
+			return fmt.Errorf("%s[%d]: %s is no name", at, n, e)
+		}
+	}
+	return nil
+}
+
 func figure(at string, v *fastjson.Value, least, most float64, path ...string) error {
 	if v == nil || v.Type() == fastjson.TypeNull {
 		return nil
--- a/internal/terms/check_test.go
+++ b/internal/terms/check_test.go
@@ -32,6 +32,12 @@
 		{`{"allowed":{"max-legs":-4}}`, "settings.allowed.max-legs"},
 		{`{"products":[{"value":1},{"expected-time":-5}]}`, "settings.products[1].expected-time"},
 		{`{"products":[{"overdue-value":2}]}`, "settings.products[0].overdue-value"},
+		{`{"products":[{"runs-in":["a","b"],"allowed-on":["k"]},{"runs-in":null}]}`, ""},
+		{`{"products":[{"runs-in":"a"}]}`, "settings.products[0].runs-in"},
+		{`{"products":[{},{"allowed-on":[]}]}`, "settings.products[1].allowed-on"},
+		{`{"products":[{"allowed-on":["k",""]}]}`, "settings.products[0].allowed-on[1]"},
+		{`{"products":[{"runs-in":["a",7]}]}`, "settings.products[0].runs-in[1]"},
+		{`{"products":[{"runs-in":{"a":1}}]}`, "settings.products[0].runs-in"},
 		{`{"tenants":[{"portion":-0.1}]}`, "settings.tenants[0].portion"},
 		{`{"registry-mode":"push"}`, "settings.registry-mode"},
 		{`{"value-by":7}`, "settings.value-by"},
@@ -78,3 +84,15 @@
 	assert.Zero(t, Key(nil))
 	assert.NotEqual(t, Key([]byte("a")), Key([]byte("b")))
 }
+
+// Where a product may go reaches the module by the ids that lists are told with; absent is anywhere, and no list of none.
+func TestPlacement(t *testing.T) {
+	got, names := From(fastjson.MustParse(`{"locality":"home","products":[{"runs-in":["b","home"]},{"allowed-on":["k","l"]},{},{"runs-in":[]}]}`), 1)
+	assert.Equal(t, []logic.ZoneID{names.Zone([]byte("b")), names.Zone([]byte("home"))}, got.Products[0].RunsIn)
+	assert.Equal(t, got.Zone, got.Products[0].RunsIn[1])
+	assert.Equal(t, []logic.KindID{names.Kind([]byte("k")), names.Kind([]byte("l"))}, got.Products[1].AllowedOn)
+	assert.NotEqual(t, names.Kind([]byte("k")), names.Kind([]byte("m")))
+	assert.Nil(t, got.Products[0].AllowedOn)
+	assert.True(t, got.Products[2].RunsIn == nil && got.Products[2].AllowedOn == nil)
+	assert.True(t, got.Products[3].RunsIn != nil && len(got.Products[3].RunsIn) == 0, "an empty list, which the sidecar refuses, opens nothing")
+}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -15,6 +15,7 @@
 	products map[string]logic.ProductID
 	tenants  map[string]logic.TenantID
 	zones    map[string]logic.ZoneID
+	kinds    map[string]logic.KindID
 }
 
 var effects = map[string]logic.Effect{"retryable": logic.Replayable, "dedup": logic.Referenced}
@@ -24,7 +25,7 @@
 // From reads the settings object.
 func From(settings *fastjson.Value, seed uint64) (logic.Terms, *Names) {
 	names := &Names{
-		products: map[string]logic.ProductID{}, tenants: map[string]logic.TenantID{}, zones: map[string]logic.ZoneID{},
+		products: map[string]logic.ProductID{}, tenants: map[string]logic.TenantID{}, zones: map[string]logic.ZoneID{}, kinds: map[string]logic.KindID{},
 	}
 	allowed, rules := settings.Get("allowed"), settings.Get("guarantees")
 	t := logic.Terms{
@@ -48,11 +49,14 @@
 	}
 	for n, p := range settings.GetArray("products") {
 		names.products[string(p.GetStringBytes("name"))] = logic.ProductID(n)
-		t.Products = append(t.Products, logic.Product{
+		product := logic.Product{
 			Effect: effects[string(p.GetStringBytes("effect"))], Group: groups[string(p.GetStringBytes("dedup-scope"))],
 			Remember: Millis(p, "key-ttl"), Expected: Millis(p, "expected-time"), Abandon: Millis(p, "abandon-time"),
 			Value: p.GetFloat64("value"), Overdue: p.GetFloat64("overdue-value"),
-		})
+		}
+		product.RunsIn = named(p.Get("runs-in"), names.Zone)
+		product.AllowedOn = named(p.Get("allowed-on"), names.Kind)
+		t.Products = append(t.Products, product)
 	}
 	for n, p := range settings.GetArray("tenants") {
 		names.tenants[string(p.GetStringBytes("name"))] = logic.TenantID(n)
@@ -118,6 +122,28 @@
 	return z
 }
 
+// Kind numbers kinds of machine as they are first named.
+func (n *Names) Kind(name []byte) logic.KindID {
+	k, known := n.kinds[string(name)]
+	if !known {
+		k = logic.KindID(len(n.kinds))
+		n.kinds[string(name)] = k
+	}
+	return k
+}
+
+// named are the ids of a list of names; nil where there is no list, which is not the same as one that names nothing.
+func named[ID any](list *fastjson.Value, id func([]byte) ID) []ID {
+	if list == nil || list.Type() == fastjson.TypeNull {
+		return nil
+	}
+	ids := []ID{}
+	for _, v := range list.GetArray() {
+		ids = append(ids, id(v.GetStringBytes()))
+	}
+	return ids
+}
+
 // me is the sidecar's number in its fleet; below 0 where it is not told.
 func me(settings *fastjson.Value) logic.PeerID {
 	if !settings.Exists("me") {
--- a/internal/virtual/baselines.go
+++ b/internal/virtual/baselines.go
@@ -68,7 +68,7 @@
 func (b *baseline) At(logic.Millis) {}
 func (b *baseline) ListStarts()     { b.up = nil }
 func (b *baseline) ListEnds(bool)   {}
-func (b *baseline) Listed(id logic.EndpointID, h logic.Health, _ logic.ZoneID, _ logic.CellID, _ float64, _ logic.Millis) {
+func (b *baseline) Listed(id logic.EndpointID, h logic.Health, _ logic.ZoneID, _ logic.KindID, _ logic.CellID, _ float64, _ logic.Millis) {
 	kept := b.up[:0]
 	for _, o := range b.up {
 		if o != id {
--- a/internal/virtual/cold_test.go
+++ b/internal/virtual/cold_test.go
@@ -30,11 +30,11 @@
 
 func (w *watched) Alarm(t logic.TimerID) { w.Decider.Alarm(t) }
 
-func (w *watched) Listed(id logic.EndpointID, h logic.Health, zone logic.ZoneID, cell logic.CellID, size float64, readyAt logic.Millis) {
+func (w *watched) Listed(id logic.EndpointID, h logic.Health, zone logic.ZoneID, kind logic.KindID, cell logic.CellID, size float64, readyAt logic.Millis) {
 	if readyAt > 0 {
 		w.sent.started[id] = float64(readyAt)
 	}
-	w.Decider.Listed(id, h, zone, cell, size, readyAt)
+	w.Decider.Listed(id, h, zone, kind, cell, size, readyAt)
 }
 
 func (w *watched) Send(x logic.ExchangeID, to logic.EndpointID, giveUpAfter logic.Millis) {
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -29,7 +29,7 @@
 // Decider is what decides: the module, or a baseline.
 type Decider interface {
 	At(now logic.Millis)
-	Listed(id logic.EndpointID, h logic.Health, zone logic.ZoneID, cell logic.CellID, size float64, readyAt logic.Millis)
+	Listed(id logic.EndpointID, h logic.Health, zone logic.ZoneID, kind logic.KindID, cell logic.CellID, size float64, readyAt logic.Millis)
 	ListStarts()
 	ListEnds(fromDisk bool)
 	ListFailed()
@@ -269,7 +269,7 @@
 			if e.changed <= c.heard || c.heard < 0 && e.state == logic.Gone {
 				continue
 			}
-			c.decider.Listed(logic.EndpointID(e.name), e.state, c.names.Zone([]byte(e.Zone)), 1, 1, logic.Millis(e.started))
+			c.decider.Listed(logic.EndpointID(e.name), e.state, c.names.Zone([]byte(e.Zone)), 0, 1, 1, logic.Millis(e.started))
 			if e.state != logic.Running {
 				c.world.book.Told(c.Number, e.number, c.world.now, "listed")
 			}
@@ -403,7 +403,7 @@
 	c.decider.ListStarts()
 	for _, e := range w.endpoints {
 		if e.state == logic.Running {
-			c.decider.Listed(logic.EndpointID(e.name), e.state, c.names.Zone([]byte(e.Zone)), 1, 1, logic.Millis(e.started))
+			c.decider.Listed(logic.EndpointID(e.name), e.state, c.names.Zone([]byte(e.Zone)), 0, 1, 1, logic.Millis(e.started))
 		}
 	}
 	c.decider.ListEnds(true)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -191,7 +191,7 @@
 	}
 	for _, e := range list.entries {
 		i.module.Listed(i.name(e.GetStringBytes("endpoint")), healths[string(e.GetStringBytes("health"))],
-			i.terms.Zone(e.GetStringBytes("locality")), logic.CellID(e.GetInt("bay")), e.GetFloat64("units"),
+			i.terms.Zone(e.GetStringBytes("locality")), i.terms.Kind(e.GetStringBytes("type")), logic.CellID(e.GetInt("bay")), e.GetFloat64("units"),
 			terms.Millis(e, "ready-at"))
 	}
 	i.module.ListEnds(scope == "disk")
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -25,7 +25,7 @@
 			m := New(Terms{Seed: 1, Fleet: 300, Products: []Product{{Effect: Replayable, Expected: 400, Abandon: 1500, Value: 1}}, MaxLegs: 3, SecondCopies: true}, &idle{}, 1e6)
 			m.ListStarts()
 			for e := range n {
-				m.Listed(EndpointID(fmt.Sprint("e", e)), Running, 0, 0, 1, 0)
+				m.Listed(EndpointID(fmt.Sprint("e", e)), Running, 0, 0, 0, 1, 0)
 			}
 			m.ListEnds(true)
 			now, beat := Millis(1e6), Millis(1e6)
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -51,7 +51,7 @@
 	}, r, 1000)
 	b.ListStarts()
 	for n, name := range names {
-		b.Listed(EndpointID(name), Running, 0, CellID(n/2), 1, 0)
+		b.Listed(EndpointID(name), Running, 0, 0, CellID(n/2), 1, 0)
 	}
 	b.ListEnds(true)
 	return b, r
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -100,7 +100,7 @@
 	shortest, longest := Millis(math.Inf(1)), Millis(0)
 	for n, p := range t.Products {
 		b.products = append(b.products,
-			product{Product: p, place: n, usualAt: now, usual: math.Max(float64(p.Expected)*usualAtStart, 1)})
+			product{Product: p, place: n, bound: p.RunsIn != nil || p.AllowedOn != nil, usualAt: now, usual: math.Max(float64(p.Expected)*usualAtStart, 1)})
 		if p.Expected > 0 {
 			shortest, longest = min(shortest, p.Expected), max(longest, p.Expected)
 		}
@@ -110,6 +110,7 @@
 	}
 	b.unknown = product{Product: Product{Value: 1, Overdue: 1, Expected: longest}, usualAt: now,
 		place: len(t.Products), usual: float64(longest) * usualAtStart}
+	b.full = make([]bool, len(b.products)+1)
 	b.warmFor, b.recall = t.IdleClose*warmShare, longest*familiarShare
 	b.beat, b.usual, b.lasting = shortest*beatShare, float64(shortest)*usualAtStart, longest
 	b.alone, b.capacity, b.took, b.did = b.usual, 1/b.usual, b.usual, 1
@@ -435,6 +436,7 @@
 			b.ask(x, one, two)
 			return
 		}
+		x.spills = false // none may be asked there
 	}
 	if len(x.legs) == 0 && b.says(x, e) {
 		if why := b.admits(x, false); why != Legged {
@@ -591,9 +593,15 @@
 	}
 }
 
+// opens tells whether a product may be sent to a machine of that place and kind at all. The list's changes ask it.
+func (p *Product) opens(zone ZoneID, kind KindID) bool {
+	return (p.RunsIn == nil || slices.Contains(p.RunsIn, zone)) &&
+		(p.AllowedOn == nil || slices.Contains(p.AllowedOn, kind))
+}
+
 // gate holds every rule that a leg must keep.
 func (b *Balancer) gate(x *exchange, e *endpoint) bool {
-	if !e.running || len(x.legs) >= b.maxLegs || x.horizon <= b.now ||
+	if !e.running || !e.open[x.product.place] || len(x.legs) >= b.maxLegs || x.horizon <= b.now ||
 		len(x.legs) > 0 && (x.spent || !b.extra.allows(b.now)) {
 		return false
 	}
@@ -763,7 +771,7 @@
 
 // trusts tries a doubtful endpoint now and then, by a draw from the posterior of its chance of success.
 func (b *Balancer) trusts(x *exchange, e *endpoint) bool {
-	if !e.doubted || b.mostDoubt {
+	if !e.doubted || b.mostDoubt || x.product.mostDoubt {
 		return true
 	}
 	if e.legs > 0 || x.product.Effect == SingleUse {
@@ -787,12 +795,12 @@
 func (b *Balancer) rests(x *exchange, e *endpoint) bool {
 	s, p := e.of[x.product.place], x.product.place
 	return s.length >= 2 && b.now < s.until &&
-		slices.ContainsFunc(b.ready, func(o *endpoint) bool { return o.of[p].length < 2 })
+		slices.ContainsFunc(b.ready, func(o *endpoint) bool { return o.open[p] && o.of[p].length < 2 })
 }
 
 // lineUp lets an exchange wait for room, if an answer in time is likely; the least worthy gives way.
 func (b *Balancer) lineUp(x *exchange) {
-	if len(b.ready) == 0 {
+	if !slices.ContainsFunc(b.ready, func(e *endpoint) bool { return e.open[x.product.place] }) {
 		b.giveUp(x, Unlisted)
 		return
 	}
@@ -825,16 +833,28 @@
 
 func (b *Balancer) byRank(p, q *exchange) int { return cmp.Compare(b.rank(p), b.rank(q)) }
 
-// drain sends from the queue while there is room, the worthiest first.
+// drain sends from the queue while there is room, the worthiest first. A product that may go to some endpoints
+// only has no room where others have: it holds back none but its own.
 func (b *Balancer) drain() {
-	for len(b.queue) > 0 {
-		x := slices.MaxFunc(b.queue, b.byRank)
-		e := b.pick(x)
-		if e == nil {
+	for n := range b.full {
+		b.full[n] = false
+	}
+	for {
+		var x *exchange
+		for _, o := range b.queue {
+			if !b.full[o.product.place] && (x == nil || b.byRank(o, x) > 0) {
+				x = o
+			}
+		}
+		if x == nil {
+			return
+		}
+		if e := b.pick(x); e != nil {
+			b.leave(x)
+			b.send(x, e)
+		} else if b.full[x.product.place] = true; !x.product.bound {
 			return
 		}
-		b.leave(x)
-		b.send(x, e)
 	}
 }
 
@@ -978,6 +998,19 @@
 		}
 	}
 	b.mostDoubt, b.strange = doubts*2 > len(b.ready), 1
+	for n := range b.products {
+		if p := &b.products[n]; p.bound {
+			open, doubted := 0, 0
+			for _, e := range b.ready {
+				if e.open[n] {
+					if open++; e.doubted {
+						doubted++
+					}
+				}
+			}
+			p.mostDoubt = doubted*2 > open
+		}
+	}
 	b.calm = math.Max(1-homeCalm*(b.lost+b.lostLong), 0)
 	wanted := math.Max(b.rate*float64(b.lasting)*familiarSpan, 1)
 	if b.recall = b.lasting * familiarShare; b.blind() { // a warm connection is worth remembering
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -38,7 +38,7 @@
 func TestNewcomerStartsAtTheOthersMean(t *testing.T) {
 	b, _ := begin("ab")
 	b.known["a"].weight = 0.5
-	b.Listed("c", Running, 0, 0, 1, 0)
+	b.Listed("c", Running, 0, 0, 0, 1, 0)
 	near(t, 0.75, b.known["c"].weight)
 }
 
@@ -163,8 +163,8 @@
 
 func TestDrainsAndTheListGone(t *testing.T) {
 	for name, tell := range map[string]func(b *Balancer){
-		"stopping": func(b *Balancer) { b.Listed("a", NotRunning, 0, 0, 1, 0); b.ListEnds(false) },
-		"absent":   func(b *Balancer) { b.ListStarts(); b.Listed("b", Running, 0, 0, 1, 0); b.ListEnds(false) },
+		"stopping": func(b *Balancer) { b.Listed("a", NotRunning, 0, 0, 0, 1, 0); b.ListEnds(false) },
+		"absent":   func(b *Balancer) { b.ListStarts(); b.Listed("b", Running, 0, 0, 0, 1, 0); b.ListEnds(false) },
 	} {
 		b, r := begin("ab")
 		tell(b)
@@ -184,7 +184,7 @@
 func TestColdBudget(t *testing.T) {
 	b, r := begin("ab")
 	b.At(1e6) // nothing was lost lately
-	b.Listed("c", Running, 0, 1, 1, b.now)
+	b.Listed("c", Running, 0, 0, 1, 1, b.now)
 	b.ListEnds(false)
 	c := 0
 	for n := range 500 {
@@ -559,11 +559,11 @@
 	} {
 		b, r := begin("abcd")
 		for _, id := range []EndpointID{"c", "d"} {
-			b.Listed(id, Running, 1, 9, 1, 0)
+			b.Listed(id, Running, 1, 0, 9, 1, 0)
 		}
 		if c.gone {
-			b.Listed("a", NotRunning, 0, 0, 1, 0)
-			b.Listed("b", NotRunning, 0, 0, 1, 0)
+			b.Listed("a", NotRunning, 0, 0, 0, 1, 0)
+			b.Listed("b", NotRunning, 0, 0, 0, 1, 0)
 		}
 		b.ListEnds(false)
 		away := 0
@@ -732,7 +732,7 @@
 	b, r := begin("ab")
 	to := arrive(b, r, "x", replayable)
 	for _, id := range []EndpointID{"a", "b"} {
-		b.Listed(id, Gone, 0, 0, 1, 0)
+		b.Listed(id, Gone, 0, 0, 0, 1, 0)
 	}
 	b.ListEnds(false)
 	assert.Len(t, b.endpoints, 1, "a leg is out")
@@ -740,9 +740,9 @@
 	b.Ended("x", 0, Satisfied, 5, true)
 	for n := range 1000 {
 		id := EndpointID(fmt.Sprint(n))
-		b.Listed(id, Running, 0, 0, 1, 0)
+		b.Listed(id, Running, 0, 0, 0, 1, 0)
 		b.ListEnds(false)
-		b.Listed(id, Gone, 0, 0, 1, 0)
+		b.Listed(id, Gone, 0, 0, 0, 1, 0)
 		b.ListEnds(false)
 	}
 	assert.Empty(t, b.endpoints)
@@ -826,7 +826,7 @@
 	b.At(1e6)
 	serve(b, r, 40, 100)
 	for _, id := range "klmn" {
-		b.Listed(EndpointID(id), Running, 0, 9, 1, b.now)
+		b.Listed(EndpointID(id), Running, 0, 0, 9, 1, b.now)
 	}
 	b.ListEnds(false)
 	cold, strange := 0, 0
@@ -866,7 +866,7 @@
 		b := New(Terms{Seed: uint64(me), Fleet: fleet, Me: me, Products: []Product{{Expected: 400, Abandon: 1500, Value: 1}}, MaxLegs: 3}, r, 1e6)
 		b.ListStarts()
 		for n := range list {
-			b.Listed(EndpointID(fmt.Sprint("e", n)), Running, ZoneID(n%3), 0, 1, 0)
+			b.Listed(EndpointID(fmt.Sprint("e", n)), Running, ZoneID(n%3), 0, 0, 1, 0)
 		}
 		b.ListEnds(true)
 		mine := []*endpoint{}
@@ -881,7 +881,7 @@
 			continue
 		}
 		// One more endpoint moves about one share, not all.
-		b.Listed("one more", Running, 0, 0, 1, 0)
+		b.Listed("one more", Running, 0, 0, 0, 1, 0)
 		b.ListEnds(false)
 		kept := 0
 		for _, e := range mine {
@@ -979,10 +979,10 @@
 	b.Out("a")
 	assert.Equal(t, 1, b.Avoided())
 	lists := map[string]func(){
-		"entry":      func() { b.Listed("a", Running, 0, 0, 1, 0) },
-		"restarted":  func() { b.Listed("a", Running, 0, 0, 1, b.now) },
-		"whole list": func() { b.ListStarts(); b.Listed("b", Running, 0, 0, 1, 0) },
-		"back in it": func() { b.Listed("a", Running, 0, 0, 1, 0) },
+		"entry":      func() { b.Listed("a", Running, 0, 0, 0, 1, 0) },
+		"restarted":  func() { b.Listed("a", Running, 0, 0, 0, 1, b.now) },
+		"whole list": func() { b.ListStarts(); b.Listed("b", Running, 0, 0, 0, 1, 0) },
+		"back in it": func() { b.Listed("a", Running, 0, 0, 0, 1, 0) },
 	}
 	for _, name := range []string{"entry", "restarted", "whole list", "back in it"} {
 		lists[name]()
@@ -997,7 +997,7 @@
 	b.Back("a")
 	assert.False(t, b.known["a"].doubted)
 	for _, older := range []Millis{0, b.now - 5} {
-		b.Listed("a", Running, 0, 0, 1, older)
+		b.Listed("a", Running, 0, 0, 0, 1, older)
 		b.ListEnds(false)
 		assert.True(t, b.isCold(b.known["a"]), "an older start in the list does not warm it")
 	}
@@ -1399,7 +1399,7 @@
 func TestZonesAreDrawnByHowLegsFareThere(t *testing.T) {
 	away := func(home, there tried) (n int) {
 		b, r := begin("ab")
-		b.Listed("b", Running, 1, 1, 1, 0)
+		b.Listed("b", Running, 1, 0, 1, 1, 0)
 		b.ListEnds(false)
 		b.awayOdds, b.zones[0], b.zones[1] = 0.02, home, there
 		for i := range 400 {
@@ -1422,7 +1422,7 @@
 func TestAskedElsewhereWhereHomeHoldsMuch(t *testing.T) {
 	b, r := begin("abcdefgh")
 	for _, id := range []EndpointID{"e", "f", "g", "h"} {
-		b.Listed(id, Running, 1, 2, 1, 0)
+		b.Listed(id, Running, 1, 0, 2, 1, 0)
 	}
 	b.ListEnds(false)
 	b.took, b.did = 100, 1
--- /dev/null
+++ b/logic/placement_test.go
@@ -0,0 +1,165 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// placed starts an instance before eight endpoints of two zones and two kinds of machine, with products bound to a zone, to a
+// kind, to both, to a zone that no endpoint has, to nothing, and one that may go anywhere.
+func placed(change func(*Terms)) (*Balancer, *record) {
+	r := &record{}
+	p := Product{Effect: Replayable, Expected: 1000, Abandon: 4000, Value: 1, Overdue: 0.5}
+	terms := Terms{Seed: 7, Fleet: 20, MaxLegs: 3, SecondCopies: true, MayCancel: true, MustAsk: true, AskWithin: 10000,
+		Cold: 10000, Fall: 1000, ColdFrom: 0.1, FallMultiple: 3, Tick: 5}
+	for _, at := range []struct {
+		zones []ZoneID
+		kinds []KindID
+	}{{[]ZoneID{0}, nil}, {nil, []KindID{1}}, {[]ZoneID{1}, []KindID{0}}, {[]ZoneID{9}, nil}, {[]ZoneID{}, nil}, {nil, nil}} {
+		p.RunsIn, p.AllowedOn = at.zones, at.kinds
+		terms.Products = append(terms.Products, p)
+	}
+	terms.Products[0].Effect, terms.Products[0].Group, terms.Products[0].Remember = Referenced, OneCell, 3000
+	if change != nil {
+		change(&terms)
+	}
+	b := New(terms, r, 1000)
+	b.ListStarts()
+	for n, name := range "abcdefgh" {
+		b.Listed(EndpointID(name), Running, ZoneID(n%2), KindID(n/2%2), CellID(n/4), 1, 0)
+	}
+	b.ListEnds(true)
+	return b, r
+}
+
+// Whatever comes together, no leg of a product leaves for a place or kind that is not open to it, be it the first, a copy, a
+// further one, or one that waited: endpoints fail, fill up, drain, start cold, go out by hand and change their zone and kind.
+func TestPlacementIsKept(t *testing.T) {
+	for name, change := range map[string]func(*Terms){
+		"plain": nil, "keys": func(t *Terms) { t.WarmKeys = true },
+		"asked":               func(t *Terms) { t.Probes, t.Reports = true, true },
+		"a sidecar elsewhere": func(t *Terms) { t.Zone, t.CrossPrice = 1, 0.03 },
+		"a small fleet":       func(t *Terms) { t.Fleet = 1 },
+	} {
+		sent := [6]int{}
+		for seed := range uint64(6) {
+			b, r := placed(change)
+			b.dice ^= seed * 0x9e3779b97f4a7c15
+			zone, kind := map[string]ZoneID{}, map[string]KindID{}
+			for n, name := range "abcdefgh" {
+				zone[string(name)], kind[string(name)] = ZoneID(n%2), KindID(n/2%2)
+			}
+			type one struct {
+				id  ExchangeID
+				p   int
+				leg LegNo
+			}
+			var out []one
+			legs := map[ExchangeID]LegNo{}
+			products := map[ExchangeID]int{}
+			asked := []string{}
+			look := func() {
+				for _, line := range r.take("send", "probe") {
+					var x, to string
+					if n, _ := fmt.Sscanf(line, "probe %s", &to); n == 1 {
+						asked = append(asked, to)
+						continue
+					}
+					_, err := fmt.Sscanf(line, "send %s %s", &x, &to)
+					if !assert.NoError(t, err, line) {
+						return
+					}
+					p := products[ExchangeID(x)]
+					product := b.products[p].Product
+					if !assert.True(t, product.opens(zone[to], kind[to]), "%s: product %d at %s, zone %d, kind %d", name, p, to, zone[to], kind[to]) {
+						return
+					}
+					sent[p]++
+					out = append(out, one{ExchangeID(x), p, legs[ExchangeID(x)]})
+					legs[ExchangeID(x)]++
+				}
+			}
+			for step := range 4000 {
+				b.At(b.now + Millis(20*b.chance()))
+				at := string("abcdefgh"[int(b.chance()*8)])
+				switch what := b.chance(); {
+				case what < 0.5:
+					x, p := ExchangeID(fmt.Sprint("x", step)), int(b.chance()*6)
+					products[x] = p
+					b.Arrive(x, ProductID(p), -1, KeyID(1+step%5), b.now+4000, 0, false)
+				case what < 0.85 && len(out) > 0:
+					n := int(b.chance() * float64(len(out)))
+					o := out[n]
+					out = append(out[:n], out[n+1:]...)
+					outcome := []Outcome{Satisfied, Satisfied, Errored, Full, TimedOut, Reset, NoConnection}[int(b.chance()*7)]
+					b.Ended(o.id, o.leg, outcome, Millis(100*b.chance()), outcome == Satisfied)
+				case what < 0.88:
+					zone[at], kind[at] = ZoneID(b.chance()*2), KindID(b.chance()*2)
+					b.Listed(EndpointID(at), Running, zone[at], kind[at], 0, 1, 0)
+					b.ListEnds(false)
+				case what < 0.9:
+					b.Listed(EndpointID(at), NotRunning, zone[at], kind[at], 0, 1, 0)
+					b.ListEnds(false)
+				case what < 0.91:
+					b.Listed(EndpointID(at), Running, zone[at], kind[at], 0, 1, b.now)
+					b.ListEnds(false)
+				case what < 0.92:
+					b.Out(EndpointID(at))
+				case what < 0.94:
+					b.Back(EndpointID(at))
+				case what < 0.97:
+					answered := asked
+					asked = nil
+					for _, to := range answered {
+						b.Probed(EndpointID(to), b.chance() < 0.9, Load{Held: float64(int(5 * b.chance()))})
+					}
+				default:
+					b.Alarm(0)
+				}
+				for _, x := range b.places { // timers that are due, in any order
+					if x.next != nil && !x.over && b.chance() < 0.01 {
+						x.next(b, x, result{what: []what{copyDue, waitOver}[int(b.chance()*2)]})
+					}
+				}
+				look()
+			}
+		}
+		for p, n := range sent {
+			if p == 3 || p == 4 {
+				assert.Zero(t, n, "%s: nothing is open to product %d", name, p)
+			} else {
+				assert.Greater(t, n, 100, "%s: product %d", name, p)
+			}
+		}
+	}
+}
+
+// What is bound waits for its own while these are full, and holds nobody else back; where there is nothing open to it at all it
+// is ended at once.
+func TestWhatIsBoundHoldsNobodyBack(t *testing.T) {
+	b, r := placed(nil)
+	b.roomLeast, b.usual = 1, 50
+	for _, e := range b.ready {
+		if e.zone == 0 {
+			e.room, e.legs, e.work = 1, 50, 50
+		}
+	}
+	assert.Empty(t, arrive(b, r, "waits", 0))
+	assert.Len(t, b.queue, 1)
+	assert.NotEmpty(t, arrive(b, r, "goes", 5))
+	assert.Equal(t, "waits", string(b.queue[0].id))
+	assert.Empty(t, arrive(b, r, "nowhere", 3))
+	assert.Len(t, r.take("dismiss"), 0, "taken by arrive")
+	assert.Nil(t, b.open["nowhere"])
+	for _, e := range b.ready {
+		if e.zone == 0 {
+			e.legs, e.work = 0, 0
+		}
+	}
+	b.drain()
+	to := sentTo(r)
+	assert.Contains(t, "aceg", string(to))
+	assert.NotEmpty(t, to)
+}
--- a/logic/pool_test.go
+++ b/logic/pool_test.go
@@ -18,7 +18,7 @@
 	}, r, 1000)
 	b.ListStarts()
 	for n := range endpoints {
-		b.Listed(EndpointID(fmt.Sprintf("e%d", n)), Running, ZoneID(n%2), 0, 1, 0)
+		b.Listed(EndpointID(fmt.Sprintf("e%d", n)), Running, ZoneID(n%2), 0, 0, 1, 0)
 	}
 	b.ListEnds(true)
 	return b, r
@@ -210,7 +210,7 @@
 func TestColdBudgetIsThePools(t *testing.T) {
 	b, r := beginPool(0, 2, 1)
 	answered(b, 200, 50, 0)
-	b.Listed("e9", Running, 0, 0, 1, b.now)
+	b.Listed("e9", Running, 0, 0, 0, 1, b.now)
 	b.ListEnds(false)
 	e := b.known["e9"]
 	mark := e.mark
@@ -280,7 +280,7 @@
 		for me := range pool {
 			pool[me], recs[me] = beginPool(me, fleet, 1)
 			answered(pool[me], 200, took, 0)
-			pool[me].Listed("cold", Running, 0, 0, 1, pool[me].now)
+			pool[me].Listed("cold", Running, 0, 0, 0, 1, pool[me].now)
 			pool[me].ListEnds(false)
 			recs[me].take()
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -12,6 +12,8 @@
 	id                  EndpointID
 	zone                ZoneID
 	cell                CellID
+	kind                KindID
+	open                []bool  // by product's place: it may be sent here at all
 	mark                uint16  // its name in messages
 	name                KeyID   // its hash
 	turn                byte    // of our last message
@@ -65,6 +67,7 @@
 type product struct {
 	Product
 	place                         int
+	bound, mostDoubt              bool    // it may go to some only; most of these are doubted
 	usual, best, failing, answers float64 // mean time, of late and least; failing share
 	usualAt, left                 Millis  // left: the time its exchanges usually have
 }
@@ -122,6 +125,7 @@
 	heatAll                                         float64
 	zones                                           []tried // by zone: legs lost, and in time
 	order                                           []int
+	full                                            []bool // in a drain, by product's place: none has room for it
 	ring                                            []*endpoint
 }
 
@@ -329,13 +333,13 @@
 	}
 }
 
-func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, cell CellID, size float64, readyAt Millis) {
+func (b *Balancer) Listed(id EndpointID, h Health, zone ZoneID, kind KindID, cell CellID, size float64, readyAt Millis) {
 	if readyAt > 0 { // told too early or too late: it is cold for longer
 		readyAt += b.startOff
 	}
 	e := b.known[id]
 	if e == nil {
-		e = &endpoint{id: id, mark: markOf(id), name: KeyOf([]byte(id))}
+		e = &endpoint{id: id, mark: markOf(id), name: KeyOf([]byte(id)), open: make([]bool, len(b.products)+1)}
 		b.known[id], b.marks[e.mark], b.endpoints = e, e, append(b.endpoints, e)
 		b.renew(e)
 	} else if readyAt > e.readyAt {
@@ -346,6 +350,10 @@
 		b.zones = append(b.zones, tried{})
 	}
 	e.zone, e.cell, e.size, e.readyAt = zone, cell, cmp.Or(max(size, 0), 1), max(readyAt, b.back[id], 0)
+	e.kind, e.open[len(b.products)] = kind, true
+	for n := range b.products {
+		e.open[n] = b.products[n].opens(zone, kind)
+	}
 	e.listed, e.up = h != Gone, h == Running
 	e.running = e.up && !b.banned[id]
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -8,6 +8,7 @@
 	EndpointID string // one server, as the list names it
 	ZoneID     int
 	CellID     int
+	KindID     int // of machine, as the list names it
 	ProductID  int // place in Terms.Products; anything outside is an unknown product
 	TenantID   int // place in Terms.Tenants; anything outside is no tenant
 	LegNo      int // legs of one exchange count from 0
@@ -77,7 +78,9 @@
 	Remember       Millis // how long the group drops repeats
 	Expected       Millis
 	Abandon        Millis
-	Value, Overdue float64 // full value, and the part of it paid after the expected time
+	Value, Overdue float64  // full value, and the part of it paid after the expected time
+	RunsIn         []ZoneID // the only zones, and kinds of machine, to which it may be sent; nil for any, empty for none
+	AllowedOn      []KindID
 }
 
 // Terms are what an instance is told when it starts.
