Legs begin between standstills; the falls of daily running were the busy machine's

By reading: run waited while the process was just behind, without bound; a process that stands still again and again is always behind. TestLegsBeginBetweenStandstills fails without the bound.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -31,6 +31,7 @@
 	retireShare = 0.6                    // of idle-close: no connection older than that is used again
 	restShare   = 0.1                    // of the time to connect: what comes behind an answer must show before another request is written
 	keyShare    = 0.95                   // of the time for which endpoints know a repeat; the rest is for its way there
+	behindWaits = 8                      // of a quarter of a beat: as long as one standstill is looked back on
 	stallTime   = 250 * time.Millisecond // between two parts of an answer, where the settings name no time to connect
 )
 
@@ -478,8 +479,10 @@
 	left := append(make([]byte, 0, 48), "Request-Timeout: "...)
 	left = strconv.AppendFloat(left, max(float64(time.Until(g.giveUp))/float64(time.Millisecond), 0), 'f', 3, 64)
 	text := net.Buffers{g.request.head, append(left, "m\r\n\r\n"...), g.request.body}
-	for u.behind != nil && u.behind() && g.ctx.Err() == nil && time.Now().Before(g.giveUp) {
-		time.Sleep(paceBeat / 4) // a drain may have been told meanwhile: whoever reads it comes first
+	// A drain may have been told while the process stood still: whoever reads it comes first. Where standstills follow upon
+	// each other, as on a small share of a core, that has had its turn after some waits, and no leg would ever begin.
+	for n := 0; n < behindWaits && u.behind != nil && u.behind() && g.ctx.Err() == nil && time.Now().Before(g.giveUp); n++ {
+		time.Sleep(paceBeat / 4)
 	}
 	if fault := g.mayBegin(k); fault != nil {
 		reusable = stop() // keep looks whether its endpoint still takes it
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -420,3 +420,16 @@
 	assert.Nil(t, fault)
 	assert.EqualValues(t, 2, s.connections.Load())
 }
+
+// A process with a small share of a core stands still again and again, and is always just behind: its legs begin all the same.
+func TestLegsBeginBetweenStandstills(t *testing.T) {
+	s := newStandIn(t, say(fine, true))
+	u := testUpstream(t, 100)
+	looks := 0
+	u.behind = func() bool { looks++; return true }
+	r, fault := u.run(testLeg(u, s.Addr().String(), 10*time.Second))
+	assert.Equal(t, logic.Satisfied, outcomeOf(fault))
+	assert.NotNil(t, r)
+	assert.Equal(t, behindWaits, looks, "whoever reads the news had its turn")
+	assert.EqualValues(t, 1, s.requests.Load())
+}
