--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,12 +27,11 @@
 	beatShare, memoryShare         = 0.2, 8.0         // of the shortest: upkeep; of the longest: evidence counts
 	lateShare, lateBest, lateLimit = 0.4, 1.8, 0.5    // of the expected time, or times the best mean, up to
 	lostOver, lostLeast, lostMost  = 3.0, 0.5, 0.9    // longer by a late answer's worth; of the expected time
+	lostWide                       = 2.5              // or its mean by so many deviations of its times
 	lostGain, lostGainLeast        = 0.25, 0.02       // of a leg in the share of lost ones,
 	lostLong                       = 1.0 / 6          // of that gain for the longer share;
 	lostFade, lostLongFade         = 4.0, 16.0        // longest expected times in which both fade by themselves
 	shedAt, shedSpan               = 0.37, 0.25       // lost legs from which on, and until all is dismissed
-	slowedFrom, slowedFull         = 1.3, 1.8         // answers' time over the best: none crowded, all
-	slowedMost, shedBeyond         = 4.0, 1.0         // of one answer; lost legs more before any is shed
 	shedWeight, shutShare          = 4.0, 0.25        // of the longer share; of the time between legs: door shut
 	rankGain, costGain             = 0.02, 0.005      // of an exchange in the mean rank, in the mean hint
 	familiarShare, familiarSpan    = 16.0, 0.5        // longest expected times: remembered; legs that find them
@@ -80,7 +79,7 @@
 		asks:    t.Probes && t.Reports && !t.Peers && t.ProbePrice <= askPrice,
 		askCost: math.Max(t.ProbePrice-askWorth/4, 0) * 2,
 		askMany: max(2, int(askWorth/math.Max(t.ProbePrice, askWorth/4))), pool: t.Peers && t.Fleet > 1,
-		me: max(t.Me, 0), cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall, slowed: 1,
+		me: max(t.Me, 0), cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
 		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
 		extra:   ration{free: t.ExtraFree, ratio: t.ExtraRatio, over: t.LookBack},
@@ -295,7 +294,6 @@
 // overload is the part to shed. Rooms of whole legs hold a small fleet back without it.
 func (b *Balancer) overload() float64 {
 	lost := b.lost + b.lostLong*(1+shedWeight*b.lostLong)
-	lost -= shedBeyond * math.Min(math.Max((slowedFull-b.slowed)/(slowedFull-slowedFrom), 0), 1)
 	return (1 - b.roomLeast*b.roomLeast) * math.Min(math.Max((lost-shedAt)/shedSpan, 0), 1)
 }
 
@@ -902,7 +900,7 @@
 // weigh books how long a leg took or is out already: silence counts before any time-out runs out.
 func (b *Balancer) weigh(x *exchange, l *leg, o Outcome, took float64) {
 	expected, best := float64(x.product.Expected), x.product.best
-	limit := lateBest * (1 + lostOver*x.product.Overdue) * best
+	limit := math.Max(lateBest*(1+lostOver*x.product.Overdue), 1+lostWide*x.product.wide) * best
 	lost := o == Full || took > math.Min(math.Max(limit, lostLeast*expected), lostMost*expected)
 	if x.key != 0 && !l.lost && (lost || o == Satisfied || o == Errored) {
 		b.try(x, l, !lost && o == Satisfied)
@@ -912,7 +910,7 @@
 		}
 	}
 	if !l.lost && (lost || o == Satisfied) {
-		gain := b.lostGain()
+		gain := math.Min(math.Max(1/(b.rate*float64(b.lasting)+0.01), lostGainLeast), lostGain)
 		b.lost, b.lostLong = b.lost*(1-gain), b.lostLong*(1-gain*lostLong)
 		if l.lost = lost; lost {
 			b.zones[l.to.zone].bad++
@@ -925,9 +923,6 @@
 	if b.pool {
 		return
 	}
-	if o == Full {
-		b.slows(slowedMost)
-	}
 	late := o == Full || took > math.Min(math.Max(lateShare*expected, lateBest*best), lateLimit*expected)
 	if !l.late && (late || o == Satisfied) {
 		l.late = late
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -385,7 +385,47 @@
 			b.At(b.now + Millis(took))
 			b.Ended(x, 0, Satisfied, Millis(took), true)
 		}
-		assert.True(t, dismissed >= c.least && dismissed <= c.most, "%s: %d dismissed, slowed %.2f, lost %.2f %.2f", c.name, dismissed, b.slowed, b.lost, b.lostLong)
+		assert.True(t, dismissed >= c.least && dismissed <= c.most, "%s: %d dismissed, lost %.2f %.2f", c.name, dismissed, b.lost, b.lostLong)
+	}
+}
+
+// Work that varies much is no overload: a sixth of exponential times lies beyond 1.8 times their mean, however idle all are.
+// Where each takes three times as long, it is one.
+func TestWorkThatVariesIsNoOverload(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		slower      float64
+		least, most int // dismissed of 300
+	}{{"idle", 1, 0, 3}, {"crowded", 3, 60, 300}} {
+		b, r := begin("abcdefghijkl")
+		b.roomLeast, b.fleet = roomLeast/300, 300
+		b.products[singleUse].Overdue = 0
+		dice, dismissed := uint64(1), 0
+		for n := range 400 {
+			if n == 100 {
+				dismissed = 0
+			}
+			b.At(b.now + 1000)
+			b.pulse()
+			x := ExchangeID(fmt.Sprint(n))
+			if arrive(b, r, x, singleUse) == "" {
+				dismissed++
+				b.Left(x)
+				continue
+			}
+			dice = dice*6364136223846793005 + 1442695040888963407
+			took := -200 * math.Log(float64(dice>>33%1000)/1000+0.0005) // of the 1,000 that it has
+			if n >= 100 {
+				took *= c.slower
+			}
+			b.At(b.now + Millis(math.Min(took, 1000)))
+			if took > 1000 {
+				b.Ended(x, 0, TimedOut, 1000, false)
+			} else {
+				b.Ended(x, 0, Satisfied, Millis(took), true)
+			}
+		}
+		assert.True(t, dismissed >= c.least && dismissed <= c.most, "%s: %d dismissed, lost %.2f %.2f", c.name, dismissed, b.lost, b.lostLong)
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -69,6 +69,7 @@
 	place                         int
 	bound, mostDoubt              bool    // it may go to some only; most of these are doubted
 	usual, best, failing, answers float64 // mean time, of late and least; failing share
+	square, wide                  float64 // mean square of its times; their deviation over the mean, at the least mean
 	usualAt, left                 Millis  // left: the time its exchanges usually have
 }
 
@@ -105,7 +106,6 @@
 	window                                          [windowParts]struct{ copies, ended float64 }
 	ratio, retries, usual, sent, rate, admittedAll  float64
 	lost, lostLong                                  float64 // shares of lost legs, of late and for longer
-	slowed                                          float64 // what answers take of late over their products' best
 	place, calm                                     float64 // where our own part of each zone begins; its share of it
 	usualRank, rooms, sizes, strange, crowding      float64 // strange: draw of who is not familiar
 	others, cost, hints, alone, capacity, took, did float64 // the pool's legs; mean hint; a leg's time alone
@@ -303,24 +303,14 @@
 	p.answers++
 	gain := math.Max(1/(p.answers+2), math.Min(float64(b.now-p.usualAt)/usualMemory, 1))
 	p.usual, p.usualAt = p.usual+gain*(took-p.usual), b.now
+	p.square += gain * (took*took - p.square)
 	if p.answers <= copyFloor || p.usual < p.best {
-		p.best = p.usual
+		p.best, p.wide = p.usual, math.Sqrt(math.Max(p.square/(p.usual*p.usual)-1, 0))
 	}
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
-	b.slows(took / math.Max(p.best, 1e-3))
 	e.good++
 }
 
-// slows books how long an answer took over the least that its product usually takes, for as long as lost legs count.
-func (b *Balancer) slows(ratio float64) {
-	b.slowed += lostLong * b.lostGain() * (math.Min(ratio, slowedMost) - b.slowed)
-}
-
-// lostGain is the part of one leg in the share of lost ones.
-func (b *Balancer) lostGain() float64 {
-	return math.Min(math.Max(1/(b.rate*float64(b.lasting)+0.01), lostGainLeast), lostGain)
-}
-
 // way is the share of legs to a zone that were answered in time.
 func (b *Balancer) way(z ZoneID) float64 {
 	r := b.zones[z]
--- a/logic/view.go
+++ b/logic/view.go
@@ -11,7 +11,7 @@
 	Stuck, Asking                                                       int  // keys let in by trials only; exchanges that await loads
 	Asks                                                                bool // endpoints are asked for their load
 	Fresh                                                               float64
-	Rooms, Tokens, Lost, LostLong, Overload, Rate, Usual, Calm, Slowed  float64 // Calm: 1 while these are drawn in full, 0 where only the familiar count
+	Rooms, Tokens, Lost, LostLong, Overload, Rate, Usual, Calm          float64 // Calm: 1 while these are drawn in full, 0 where only the familiar count
 }
 
 // View counts the endpoints that are ready by what is known of them.
@@ -19,7 +19,7 @@
 	v := View{
 		Ready: len(b.ready), Waiting: len(b.queue), Legs: b.out, Rooms: b.rooms, Lost: b.lost, LostLong: b.lostLong,
 		Overload: b.overload(), Rate: b.rate * 1000, Usual: b.usual,
-		Stuck: b.stuckKeys(), Asking: len(b.asking), Asks: b.blind(), Fresh: b.fresh, Calm: b.calm, Slowed: b.slowed,
+		Stuck: b.stuckKeys(), Asking: len(b.asking), Asks: b.blind(), Fresh: b.fresh, Calm: b.calm,
 	}
 	for _, e := range b.ready {
 		cold, idle := b.isCold(e), e.legs == 0
