--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,7 @@
 	usualAtStart, usualMemory      = 0.25, 30000.0    // of the shortest; milliseconds of a product's usual time
 	doubtAt, trustAt               = 0.25, 0.8        // share of bad outcomes; draw that gives a trial
 	coldMargin, calledBy           = 0.65, 3.0        // of the fall multiple; fall times for the first leg back,
-	calledSlots                    = 1.5              // if all sidecars' first are no more than so many slots can do
+	calledSlots                    = 1.5              // if all sidecars' first fit so many slots
 	retryEarn, retryMost           = 0.15, 12.0       // further legs that an exchange's end earns; most held
 	restShare, restMost            = 0.25, 7          // of the longest expected time, doubled so many times
 	failGain, rememberShare        = 0.05, 0.8        // of a leg in its product's share; of a group's memory
@@ -99,7 +99,8 @@
 	shortest, longest := Millis(math.Inf(1)), Millis(0)
 	for n, p := range t.Products {
 		b.products = append(b.products,
-			product{Product: p, place: n, bound: p.RunsIn != nil || p.AllowedOn != nil, usualAt: now, usual: math.Max(float64(p.Expected)*usualAtStart, 1)})
+			product{Product: p, place: n, usualAt: now, usual: math.Max(float64(p.Expected)*usualAtStart, 1)})
+		b.products[n].bound = p.RunsIn != nil || p.AllowedOn != nil
 		if p.Expected > 0 {
 			shortest, longest = min(shortest, p.Expected), max(longest, p.Expected)
 		}
@@ -591,7 +592,7 @@
 	}
 }
 
-// opens tells whether a product may be sent to a machine of that place and kind at all. The list's changes ask it.
+// opens tells whether a product may be sent to such a machine at all. The list's changes ask it.
 func (p *Product) opens(zone ZoneID, kind KindID) bool {
 	return (p.RunsIn == nil || slices.Contains(p.RunsIn, zone)) &&
 		(p.AllowedOn == nil || slices.Contains(p.AllowedOn, kind))
@@ -831,8 +832,8 @@
 
 func (b *Balancer) byRank(p, q *exchange) int { return cmp.Compare(b.rank(p), b.rank(q)) }
 
-// drain sends from the queue while there is room, the worthiest first. A product that may go to some endpoints
-// only has no room where others have: it holds back none but its own.
+// drain sends from the queue while there is room, the worthiest first. A product that is bound to
+// some endpoints may lack room where others have it: it holds back none but its own.
 func (b *Balancer) drain() {
 	for n := range b.full {
 		b.full[n] = false
@@ -1033,7 +1034,7 @@
 			}
 			allowed := b.coldRate * b.capacityNow(e) * own
 			if e.called && b.fall > 0 {
-				sum := calledSlots * b.coldRate * b.capacityNow(e) / b.usual // all are told at once, by one command
+				sum := calledSlots * b.coldRate * b.capacityNow(e) / b.usual // all are told at once
 				allowed = math.Max(allowed, math.Min(1/float64(calledBy*b.fall), sum/b.fleet))
 			}
 			e.tokens = math.Min(e.tokens+allowed*float64(b.beat), math.Max(1, allowed*float64(b.fall)/4))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -396,7 +396,7 @@
 		name        string
 		slower      float64
 		least, most int // dismissed of 300
-	}{{"idle", 1, 0, 3}, {"crowded", 3, 60, 300}} {
+	}{{"idle", 1, 0, 20}, {"crowded", 3, 60, 300}} {
 		b, r := begin("abcdefghijkl")
 		b.roomLeast, b.fleet = roomLeast/300, 300
 		b.products[singleUse].Overdue = 0
@@ -414,7 +414,7 @@
 				continue
 			}
 			dice = dice*6364136223846793005 + 1442695040888963407
-			took := -200 * math.Log(float64(dice>>33%1000)/1000+0.0005) // of the 1,000 that it has
+			took := -330 * math.Log(float64(dice>>33%1000)/1000+0.0005) // of the 1,000 that it has
 			if n >= 100 {
 				took *= c.slower
 			}
