What was written twice stands once; a check that could not fail is replaced

Bound was kept as state in the module and worked out again in the loop: Product.Bound. Zones and kinds were numbered by like lines: numbered. ServeHTTP let go of a body in two places: one. Tests: telling, lightSidecar. A check in TestWhatIsBoundHoldsNobodyBack looked at a record that arrive had emptied: it now sees the dismissal. fleet_test drew its seed from the clock: it is the port.

--- a/cmd/lynxjunction/fleet_test.go
+++ b/cmd/lynxjunction/fleet_test.go
@@ -53,11 +53,11 @@
 
 func startFile(t *testing.T, dir, listen, discovery, known string, sockets, fleet int) string {
 	path := filepath.Join(dir, strings.NewReplacer(":", "-").Replace(listen)+".json")
-	require.NoError(t, os.WriteFile(path, []byte(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"%x",`+
+	require.NoError(t, os.WriteFile(path, []byte(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":%q,`+
 		`"limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":%s,"settings":{"fleet-size":%d,"tick":1,`+
 		`"allowed":{"max-legs":3,"may-cancel":true,"second-copies":true,"idle-close":15000},"guarantees":{"ask-within":10000},"products":[`+
 		`{"name":"look","effect":"retryable","expected-time":20000,"abandon-time":25000,"value":1,"overdue-value":0.5}]}}`,
-		listen, discovery, len(path)*7919+int(time.Now().UnixNano()%1e9), sockets, known, fleet)), 0o600))
+		listen, discovery, listen[strings.LastIndex(listen, ":")+1:], sockets, known, fleet)), 0o600))
 	return path
 }
 
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -847,15 +847,7 @@
 func TestPlacementOnSockets(t *testing.T) {
 	right, other, wrong := newStandIn(t, say(fine, true)), newStandIn(t, say(fine, true)), newStandIn(t, say(fine, true))
 	r8, o, w := right.Addr().String(), other.Addr().String(), wrong.Addr().String()
-	tell := make(chan string)
-	d := newStandIn(t, func(c net.Conn, _ *http.Request) bool {
-		c.Write([]byte(watchHead))
-		for line := range tell {
-			c.Write([]byte(chunk(line)))
-		}
-		return false
-	})
-	defer close(tell)
+	tell, d := telling(t)
 	r := begin(t, "null", func(s *Start) {
 		s.Discovery = d.Addr().String()
 		bound(s)
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -24,6 +24,19 @@
 
 func chunk(line string) string { return fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line) }
 
+// telling is a discovery whose watch tells what it is given, line by line.
+func telling(t *testing.T) (tell chan string, d *standIn) {
+	tell = make(chan string)
+	t.Cleanup(func() { close(tell) })
+	return tell, newStandIn(t, func(c net.Conn, _ *http.Request) bool {
+		c.Write([]byte(watchHead))
+		for line := range tell {
+			c.Write([]byte(chunk(line)))
+		}
+		return false
+	})
+}
+
 // Each way in which a watch may end is told to the module, which asks again; what was known till then stays.
 func TestWatchEnds(t *testing.T) {
 	s := newStandIn(t, say(fine, true))
@@ -165,15 +178,7 @@
 func TestWatchTells(t *testing.T) {
 	a, b := newStandIn(t, say(fine, true)), newStandIn(t, say(fine, true))
 	at, bt := a.Addr().String(), b.Addr().String()
-	tell := make(chan string)
-	d := newStandIn(t, func(c net.Conn, _ *http.Request) bool {
-		c.Write([]byte(watchHead))
-		for line := range tell {
-			c.Write([]byte(chunk(line)))
-		}
-		return false
-	})
-	defer close(tell)
+	tell, d := telling(t)
 	r := begin(t, known(a), func(s *Start) { s.Discovery = d.Addr().String() })
 	for n, c := range []struct {
 		name, line string
@@ -387,15 +392,7 @@
 		}
 		return entries
 	}
-	tell := make(chan string)
-	defer close(tell)
-	d := newStandIn(t, func(c net.Conn, _ *http.Request) bool {
-		c.Write([]byte(watchHead))
-		for line := range tell {
-			c.Write([]byte(chunk(line)))
-		}
-		return false
-	})
+	tell, d := telling(t)
 	r := begin(t, "null", func(start *Start) { start.Discovery, start.terms.Fleet = d.Addr().String(), 1024 })
 	for n, c := range []struct {
 		name, line string
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -612,7 +612,7 @@
 		return
 	}
 	p := l.products[x.product]
-	g.bound = p.RunsIn != nil || p.AllowedOn != nil
+	g.bound = p.Bound()
 	g.patient = p.Effect == logic.SingleUse
 	if p.Effect == logic.Referenced && p.Remember > 0 {
 		for _, earlier := range x.legs { // the first that may have run
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -235,12 +235,14 @@
 		}
 		select {
 		case a := <-x.answer:
+			if pumped != nil {
+				// Before its end: what is left of it is read for a while, by its pump alone and not once the handler has
+				// ended, and nothing behind it.
+				w.Header().Set("Connection", "close")
+				defer func() { <-pumped }()
+				rest.drop()
+			}
 			if a.status == nobody { // the loop was told that the client has left
-				if pumped != nil { // the body is read by nobody but its pump, and not once the handler has ended
-					w.Header().Set("Connection", "close")
-					defer func() { <-pumped }()
-					rest.drop()
-				}
 				answer{status: http.StatusBadGateway}.write(w)
 				return
 			}
@@ -251,11 +253,6 @@
 			if s.until.Load() != nil || s.yields() {
 				w.Header().Set("Connection", "close") // it may have come to that while it waited
 			}
-			if pumped != nil { // before its end: what is left of it is read for a while, and nothing behind it
-				w.Header().Set("Connection", "close")
-				defer func() { <-pumped }()
-				rest.drop()
-			}
 			s.give(w, a, class)
 			return
 		case err := <-pumped:
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -114,22 +114,21 @@
 
 // Zone numbers zones as they are first named.
 func (n *Names) Zone(name []byte) logic.ZoneID {
-	z, known := n.zones[string(name)]
-	if !known {
-		z = logic.ZoneID(len(n.zones))
-		n.zones[string(name)] = z
-	}
-	return z
+	return numbered(n.zones, name)
 }
 
 // Kind numbers kinds of machine as they are first named.
 func (n *Names) Kind(name []byte) logic.KindID {
-	k, known := n.kinds[string(name)]
+	return numbered(n.kinds, name)
+}
+
+func numbered[ID ~int](of map[string]ID, name []byte) ID {
+	id, known := of[string(name)]
 	if !known {
-		k = logic.KindID(len(n.kinds))
-		n.kinds[string(name)] = k
+		id = ID(len(of))
+		of[string(name)] = id
 	}
-	return k
+	return id
 }
 
 // named are the ids of a list of names; nil where there is no list, which is not the same as one that names nothing.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -100,7 +100,6 @@
 	for n, p := range t.Products {
 		b.products = append(b.products,
 			product{Product: p, place: n, usualAt: now, usual: math.Max(float64(p.Expected)*usualAtStart, 1)})
-		b.products[n].bound = p.RunsIn != nil || p.AllowedOn != nil
 		if p.Expected > 0 {
 			shortest, longest = min(shortest, p.Expected), max(longest, p.Expected)
 		}
@@ -851,7 +850,7 @@
 		if e := b.pick(x); e != nil {
 			b.leave(x)
 			b.send(x, e)
-		} else if b.full[x.product.place] = true; !x.product.bound {
+		} else if b.full[x.product.place] = true; !x.product.Bound() {
 			return
 		}
 	}
@@ -995,7 +994,7 @@
 	}
 	b.mostDoubt, b.strange = doubts*2 > len(b.ready), 1
 	for n := range b.products {
-		if p := &b.products[n]; p.bound {
+		if p := &b.products[n]; p.Bound() {
 			open, doubted := 0, 0
 			for _, e := range b.ready {
 				if e.open[n] {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -336,6 +336,27 @@
 	near(t, 0, b.overload())
 }
 
+// lightSidecar sends 400 single-use exchanges, one each so many ms, as one of 300 before twelve endpoints; overdue is what a late answer keeps, leg says what becomes
+// of each. The last 300 that it dismissed are counted.
+func lightSidecar(every Millis, overdue float64, leg func(b *Balancer, x ExchangeID, n int)) (b *Balancer, dismissed int) {
+	b, r := begin("abcdefghijkl")
+	b.roomLeast, b.fleet, b.products[singleUse].Overdue = roomLeast/300, 300, overdue
+	for n := range 400 {
+		b.At(b.now + every)
+		b.pulse()
+		x := ExchangeID(fmt.Sprint(n))
+		if arrive(b, r, x, singleUse) != "" {
+			leg(b, x, n)
+			continue
+		}
+		b.Left(x)
+		if n >= 100 {
+			dismissed++
+		}
+	}
+	return b, dismissed
+}
+
 // Legs that are lost while answers come as fast as ever, to a cut, lost answers or work that varies much beside its time, are
 // no overload: dismissing saves none of them. Answers that all take longer are one, and so is an endpoint's word that it is
 // full. What an instance saw before it knew its products' best does not hold it back for ever.
@@ -349,21 +370,8 @@
 		{"all well", 1, 0, 0, 0, 0}, {"a fifth lost", 1, 2, 0, 0, 15}, {"nearly all lost", 1, 8, 0, 150, 300},
 		{"slower, none lost", 2.5, 0, 0, 0, 0}, {"slower, a third lost", 2.5, 3, 0, 60, 300}, {"full, a third lost", 1, 1, 3, 60, 300},
 	} {
-		b, r := begin("abcdefghijkl")
-		b.roomLeast, b.fleet = roomLeast/300, 300
-		dice, dismissed := uint64(1), 0
-		for n := range 400 {
-			if n == 100 {
-				dismissed = 0
-			}
-			b.At(b.now + 250)
-			b.pulse()
-			x := ExchangeID(fmt.Sprint(n))
-			if arrive(b, r, x, singleUse) == "" {
-				dismissed++
-				b.Left(x)
-				continue
-			}
+		dice := uint64(1)
+		b, dismissed := lightSidecar(250, 0.5, func(b *Balancer, x ExchangeID, n int) {
 			dice = dice*6364136223846793005 + 1442695040888963407
 			tenth, took := int(dice>>40%10), 40*math.Exp(float64(dice>>33%1000)/1000-0.5)
 			switch {
@@ -371,20 +379,20 @@
 			case tenth < c.lost:
 				b.At(b.now + 1000)
 				b.Ended(x, 0, TimedOut, 1000, false)
-				continue
+				return
 			case tenth < c.lost+c.full:
 				leg := LegNo(0)
-				for b.Ended(x, leg, Full, 1, false); sentTo(r) != ""; b.Ended(x, leg, Full, 1, false) {
+				for b.Ended(x, leg, Full, 1, false); sentTo(b.Outgoing.(*record)) != ""; b.Ended(x, leg, Full, 1, false) {
 					leg++ // full everywhere
 				}
 				b.Left(x)
-				continue
+				return
 			default:
 				took *= c.slower
 			}
 			b.At(b.now + Millis(took))
 			b.Ended(x, 0, Satisfied, Millis(took), true)
-		}
+		})
 		assert.True(t, dismissed >= c.least && dismissed <= c.most, "%s: %d dismissed, lost %.2f %.2f", c.name, dismissed, b.lost, b.lostLong)
 	}
 }
@@ -397,22 +405,8 @@
 		slower      float64
 		least, most int // dismissed of 300
 	}{{"idle", 1, 0, 20}, {"crowded", 3, 60, 300}} {
-		b, r := begin("abcdefghijkl")
-		b.roomLeast, b.fleet = roomLeast/300, 300
-		b.products[singleUse].Overdue = 0
-		dice, dismissed := uint64(1), 0
-		for n := range 400 {
-			if n == 100 {
-				dismissed = 0
-			}
-			b.At(b.now + 1000)
-			b.pulse()
-			x := ExchangeID(fmt.Sprint(n))
-			if arrive(b, r, x, singleUse) == "" {
-				dismissed++
-				b.Left(x)
-				continue
-			}
+		dice := uint64(1)
+		b, dismissed := lightSidecar(1000, 0, func(b *Balancer, x ExchangeID, n int) {
 			dice = dice*6364136223846793005 + 1442695040888963407
 			took := -330 * math.Log(float64(dice>>33%1000)/1000+0.0005) // of the 1,000 that it has
 			if n >= 100 {
@@ -424,7 +418,7 @@
 			} else {
 				b.Ended(x, 0, Satisfied, Millis(took), true)
 			}
-		}
+		})
 		assert.True(t, dismissed >= c.least && dismissed <= c.most, "%s: %d dismissed, lost %.2f %.2f", c.name, dismissed, b.lost, b.lostLong)
 	}
 }
@@ -1079,7 +1073,6 @@
 			for p := range b.products {
 				b.products[p].usual = 50
 			}
-			b.Back("never out")
 			b.Out("a")
 			b.At(b.now + 1)
 			b.Back("a")
--- a/logic/placement_test.go
+++ b/logic/placement_test.go
@@ -150,8 +150,9 @@
 	assert.Len(t, b.queue, 1)
 	assert.NotEmpty(t, arrive(b, r, "goes", 5))
 	assert.Equal(t, "waits", string(b.queue[0].id))
-	assert.Empty(t, arrive(b, r, "nowhere", 3))
-	assert.Len(t, r.take("dismiss"), 0, "taken by arrive")
+	r.take()
+	b.Arrive("nowhere", 3, -1, 0, b.now+4000, 0, false)
+	assert.Equal(t, []string{"dismiss nowhere"}, r.take("dismiss", "send"))
 	assert.Nil(t, b.open["nowhere"])
 	for _, e := range b.ready {
 		if e.zone == 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -67,7 +67,7 @@
 type product struct {
 	Product
 	place                         int
-	bound, mostDoubt              bool    // it may go to some only; most of these are doubted
+	mostDoubt                     bool    // of a bound one: most of its endpoints are doubted
 	usual, best, failing, answers float64 // mean time, of late and least; failing share
 	square, wide                  float64 // mean square of its times; their deviation over the mean, at the least mean
 	usualAt, left                 Millis  // left: the time its exchanges usually have
--- a/logic/types.go
+++ b/logic/types.go
@@ -83,6 +83,9 @@
 	AllowedOn      []KindID
 }
 
+// Bound tells that it may be sent to some endpoints only.
+func (p *Product) Bound() bool { return p.RunsIn != nil || p.AllowedOn != nil }
+
 // Terms are what an instance is told when it starts.
 type Terms struct {
 	Seed                    uint64
