--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,11 +27,14 @@
 	beatShare, memoryShare         = 0.2, 8.0         // of the shortest: upkeep; of the longest: evidence counts
 	lateShare, lateBest, lateLimit = 0.4, 1.8, 0.5    // of the expected time, or times the best mean, up to
 	lostOver, lostLeast, lostMost  = 3.0, 0.5, 0.9    // longer by a late answer's worth; of the expected time
-	lostWide                       = 2.5              // or its mean by so many deviations of its times
+	lostWide                       = 3.5              // or its mean by so many deviations of its times
 	lostGain, lostGainLeast        = 0.25, 0.02       // of a leg in the share of lost ones,
 	lostLong                       = 1.0 / 6          // of that gain for the longer share;
 	lostFade, lostLongFade         = 4.0, 16.0        // longest expected times in which both fade by themselves
 	shedAt, shedSpan               = 0.37, 0.25       // lost legs from which on, and until all is dismissed
+	slowedFrom, slowedFull         = 1.0, 1.25        // answers' time over the least: none queues, all do
+	slowedMost, slowedGain         = 4.0, 1.0 / 3     // of one answer; of the gain above
+	shedBeyond                     = 1.2              // lost legs more before any is shed where none queues
 	shedWeight, shutShare          = 4.0, 0.25        // of the longer share; of the time between legs: door shut
 	rankGain, costGain             = 0.02, 0.005      // of an exchange in the mean rank, in the mean hint
 	familiarShare, familiarSpan    = 16.0, 0.5        // longest expected times: remembered; legs that find them
@@ -80,7 +83,7 @@
 		askCost: math.Max(t.ProbePrice-askWorth/4, 0) * 2,
 		askMany: max(2, int(askWorth/math.Max(t.ProbePrice, askWorth/4))), pool: t.Peers && t.Fleet > 1,
 		me: max(t.Me, 0), cold: t.Cold, coldFrom: t.ColdFrom, coldRate: t.FallMultiple * coldMargin, fall: t.Fall,
-		fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
+		slowed: 1, fleet: float64(max(t.Fleet, 1)), slack: 2 * t.Tick, known: map[EndpointID]*endpoint{},
 		banned: map[EndpointID]bool{}, back: map[EndpointID]Millis{}, open: map[ExchangeID]*exchange{},
 		extra:   ration{free: t.ExtraFree, ratio: t.ExtraRatio, over: t.LookBack},
 		retries: retryMost / 4, ratioAt: now, advice: t.LongestAdvice, marks: map[uint16]*endpoint{},
@@ -291,9 +294,11 @@
 	return part
 }
 
-// overload is the part to shed. Rooms of whole legs hold a small fleet back without it.
+// overload is the part to shed. Rooms of whole legs hold a small fleet back without it. Dismissing saves no leg
+// that a cut or a lost answer takes: while answers come as fast as ever, nothing queues and more must be lost.
 func (b *Balancer) overload() float64 {
 	lost := b.lost + b.lostLong*(1+shedWeight*b.lostLong)
+	lost -= shedBeyond * math.Min(math.Max((slowedFull-b.slowed)/(slowedFull-slowedFrom), 0), 1)
 	return (1 - b.roomLeast*b.roomLeast) * math.Min(math.Max((lost-shedAt)/shedSpan, 0), 1)
 }
 
@@ -910,7 +915,7 @@
 		}
 	}
 	if !l.lost && (lost || o == Satisfied) {
-		gain := math.Min(math.Max(1/(b.rate*float64(b.lasting)+0.01), lostGainLeast), lostGain)
+		gain := b.lostGain()
 		b.lost, b.lostLong = b.lost*(1-gain), b.lostLong*(1-gain*lostLong)
 		if l.lost = lost; lost {
 			b.zones[l.to.zone].bad++
@@ -923,6 +928,9 @@
 	if b.pool {
 		return
 	}
+	if o == Full {
+		b.slows(slowedMost)
+	}
 	late := o == Full || took > math.Min(math.Max(lateShare*expected, lateBest*best), lateLimit*expected)
 	if !l.late && (late || o == Satisfied) {
 		l.late = late
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -403,9 +403,10 @@
 	for _, c := range []struct {
 		name        string
 		slower      float64
-		least, most int // dismissed of 300
-	}{{"idle", 1, 0, 20}, {"crowded", 3, 60, 300}} {
-		dice := uint64(1)
+		least, most int     // dismissed of 300
+		lost        float64 // share of legs that counts as lost, in the mean, at the most
+	}{{"idle", 1, 0, 20, 0.06}, {"crowded", 3, 60, 300, 1}} {
+		dice, shares, legs := uint64(1), 0.0, 0.0
 		b, dismissed := lightSidecar(1000, 0, func(b *Balancer, x ExchangeID, n int) {
 			dice = dice*6364136223846793005 + 1442695040888963407
 			took := -330 * math.Log(float64(dice>>33%1000)/1000+0.0005) // of the 1,000 that it has
@@ -418,8 +419,12 @@
 			} else {
 				b.Ended(x, 0, Satisfied, Millis(took), true)
 			}
+			if n >= 100 {
+				shares, legs = shares+b.lost, legs+1
+			}
 		})
 		assert.True(t, dismissed >= c.least && dismissed <= c.most, "%s: %d dismissed, lost %.2f %.2f", c.name, dismissed, b.lost, b.lostLong)
+		assert.LessOrEqual(t, shares/legs, c.lost, c.name)
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -106,6 +106,7 @@
 	window                                          [windowParts]struct{ copies, ended float64 }
 	ratio, retries, usual, sent, rate, admittedAll  float64
 	lost, lostLong                                  float64 // shares of lost legs, of late and for longer
+	slowed                                          float64 // what answers take of late over their products' least
 	place, calm                                     float64 // where our own part of each zone begins; its share of it
 	usualRank, rooms, sizes, strange, crowding      float64 // strange: draw of who is not familiar
 	others, cost, hints, alone, capacity, took, did float64 // the pool's legs; mean hint; a leg's time alone
@@ -308,9 +309,20 @@
 		p.best, p.wide = p.usual, math.Sqrt(math.Max(p.square/(p.usual*p.usual)-1, 0))
 	}
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
+	b.slows(took / math.Max(p.best, 1e-3))
 	e.good++
 }
 
+// slows books how long an answer took over the least that its product usually takes, for as long as lost legs count.
+func (b *Balancer) slows(ratio float64) {
+	b.slowed += slowedGain * b.lostGain() * (math.Min(ratio, slowedMost) - b.slowed)
+}
+
+// lostGain is the part of one leg in the share of lost ones.
+func (b *Balancer) lostGain() float64 {
+	return math.Min(math.Max(1/(b.rate*float64(b.lasting)+0.01), lostGainLeast), lostGain)
+}
+
 // way is the share of legs to a zone that were answered in time.
 func (b *Balancer) way(z ZoneID) float64 {
 	r := b.zones[z]
