Nothing is dismissed by a guess before the first answer: new processes kept refusing

At fault: lineUp. Before the first answer usual is a guess, a quarter of the shortest expected time; one in the queue over one leg makes 0.25 of it, and the bound is 0.12. So with one usable endpoint the second exchange of any new process is dismissed, with two the third. Change: the queue's bound counts from the first answer on. Each that waits is still given up at half of its time. Ruled out: standstill (0), legs lost (0), shedding (given_up_shed 0). Test: TestFirstExchangesOfANewProcess, dismissals at the second and third exchange without the change.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -294,8 +294,8 @@
 	return part
 }
 
-// overload is the part to shed. Rooms of whole legs hold a small fleet back without it. Dismissing saves no leg
-// that a cut or a lost answer takes: while answers come as fast as ever, nothing queues and more must be lost.
+// overload is the part to shed. Rooms of whole legs hold a small fleet back without it. Dismissing saves no
+// leg that a cut or a lost answer takes: while answers are as fast as ever, more must be lost.
 func (b *Balancer) overload() float64 {
 	lost := b.lost + b.lostLong*(1+shedWeight*b.lostLong)
 	lost -= shedBeyond * math.Min(math.Max((slowedFull-b.slowed)/(slowedFull-slowedFrom), 0), 1)
@@ -801,7 +801,8 @@
 		slices.ContainsFunc(b.ready, func(o *endpoint) bool { return o.open[p] && o.of[p].length < 2 })
 }
 
-// lineUp lets an exchange wait for room, if an answer in time is likely; the least worthy gives way.
+// lineUp lets an exchange wait for room, if an answer in time is likely; the least worthy gives way. Before
+// the first answer that is a guess, and dismisses nobody: a new process would refuse what it is asked second.
 func (b *Balancer) lineUp(x *exchange) {
 	if !slices.ContainsFunc(b.ready, func(e *endpoint) bool { return e.open[x.product.place] }) {
 		b.giveUp(x, Unlisted)
@@ -809,7 +810,7 @@
 	}
 	x.next, b.queue = stepQueued, append(b.queue, x)
 	b.wakeFor(x, max(min(x.horizon-b.now-Millis(x.product.usual), (x.horizon-b.now)/2), 1), waitOver)
-	for len(b.queue) > 0 {
+	for len(b.queue) > 0 && b.samples > 0 {
 		least := slices.MinFunc(b.queue, b.byRank)
 		wait := float64(len(b.queue)) * b.usual / math.Max(float64(b.out)+b.others*queueOthers, 1)
 		if wait <= queueShare*float64(least.horizon-b.now) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -447,6 +447,37 @@
 	assert.Less(t, got, 12)
 }
 
+// What a new process is asked before its first answer waits for room: how long answers take is not known yet. Where none
+// comes, each is given up while half of its time is left.
+func TestFirstExchangesOfANewProcess(t *testing.T) {
+	for _, names := range []string{"a", "ab"} {
+		b, r := begin(names)
+		r.take()
+		for n := range 8 {
+			b.Arrive(ExchangeID(fmt.Sprint(n)), replayable, -1, 0, b.now+4000, 0, false)
+		}
+		waits, before := []Millis{}, b.now
+		for _, line := range r.take("dismiss", "forfeit", "wake") {
+			var id TimerID
+			var after Millis
+			if _, err := fmt.Sscanf(line, "wake %d %f", &id, &after); !assert.NoError(t, err, "%s, before any answer: %s", names, line) {
+				break
+			}
+			if id&15 == 2 {
+				waits = append(waits, after)
+			}
+		}
+		assert.Len(t, b.queue, 8-len(names), names)
+		assert.Len(t, waits, len(b.queue), names)
+		for _, after := range waits {
+			assert.LessOrEqual(t, after, Millis(2000), names)
+		}
+		b.At(before + 20)
+		b.Ended("0", 0, Satisfied, 20, true)
+		assert.Len(t, r.take("send"), 1, "%s: the room that an answer makes is used", names)
+	}
+}
+
 // Crowded endpoints must get less; what waits goes by value for work, beyond a share last.
 func TestRoomAndQueue(t *testing.T) {
 	b, r := begin("a")
