--- a/cmd/lynxjunction/upgrade_test.go
+++ b/cmd/lynxjunction/upgrade_test.go
@@ -80,7 +80,7 @@
 	require.NoError(t, os.WriteFile(w.config, []byte(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f",`+
 		`"limits":{"cores":1,"memory_mb":192,"sockets":512},"known":%s,"settings":{"fleet-size":1,"tick":1,`+
 		`"allowed":{"max-legs":3,"may-cancel":true,"second-copies":true,"idle-close":15000},"guarantees":{"ask-within":2000},"products":[`+
-		`{"name":"look","effect":"retryable","expected-time":2000,"abandon-time":2500,"value":1,"overdue-value":0.5}]}}`,
+		`{"name":"look","effect":"retryable","expected-time":500,"abandon-time":2500,"value":1,"overdue-value":0.5}]}}`,
 		w.listen, discovery, list)), 0o600))
 	return w
 }
