--- a/internal/sidecar/console_test.go
+++ b/internal/sidecar/console_test.go
@@ -223,6 +223,8 @@
 	dir := filepath.Join(t.TempDir(), "not there")
 	r := begin(t, known(newStandIn(t, say(fine, true))), withConsole(dir))
 	desk := r.desk()
+	// an endpoint that is not known yet is answered 404, rightly
+	require.Eventually(t, func() bool { return r.loop.loaded.Load() && r.loop.confirmed(t.Context()) }, 5*time.Second, time.Millisecond)
 	status, _ := call(t, desk, "POST", "/endpoints/s0/maint")
 	assert.Equal(t, 503, status)
 	assert.Equal(t, 503, r.status(ask("1", "GET", "look", "")), "it is in force all the same")
