The rig waits for no server under its lock; a crossing test waits until the loop stands

Checked, rig: TestDescriptorsRunOut alone hung in 2 of 10 plays. The hung process' stacks: Rig.end holds r.mu and waits in http.Server.Close for Serve; Serve logs that accept found no descriptor, complaints.Write calls fail, and fail waits for r.mu. Ruled out: processes that do not end, links. At fault: rig.go, end. It now takes what it takes down under the lock and waits without it.

Checked, crossing: assemble queues the list of the start file, so that a queue of one could be the test's own halt while the loop still read that list. The test's halts then stood in front of the exchange. No assertion changed.

--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
@@ -489,24 +490,22 @@
 	return time.Duration(most * float64(time.Millisecond))
 }
 
-// end takes down what is left, whatever happened.
+// end takes down what is left, whatever happened. It waits for servers that may be telling of a fault just then, and so holds no lock.
 func (r *Rig) end() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, p := range r.all {
+	all, endpoints, upstream := slices.Clone(r.all), slices.Clone(r.endpoints), slices.Collect(maps.Values(r.links.upstream))
+	r.mu.Unlock()
+	for _, p := range all {
 		if !p.wait(0) {
 			p.Process.Kill()
 			<-p.ended
 		}
 	}
-	for _, e := range r.endpoints {
+	for _, e := range endpoints {
 		e.close()
 	}
 	r.lists.web.Close()
-	for _, l := range r.links.upstream {
-		l.Close()
-	}
-	for _, l := range slices.Concat(r.links.list, r.links.clients, r.links.consoles) {
+	for _, l := range slices.Concat(upstream, r.links.list, r.links.clients, r.links.consoles) {
 		if l != nil {
 			l.Close()
 		}
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -22,14 +22,21 @@
 
 // Two events that cross, each test of this file in the bad order and in no other: docs/crossings.md has the table.
 
-// halt stops the loop at this place of its queue until it is let go.
+// halt stops the loop and returns when it stands: it has taken all that was queued before, the list of its start too.
 func (r *running) halt() (goOn func()) {
-	gate, there := make(chan bool), make(chan bool, 1)
+	there, goOn := r.haltBehind()
+	<-there
+	return goOn
+}
+
+// haltBehind stops the loop at this place of its queue, behind what is queued already, until it is let go.
+func (r *running) haltBehind() (there chan bool, goOn func()) {
+	gate, there := make(chan bool), make(chan bool)
 	r.loop.post(probe(func(*loop) {
-		there <- true
+		close(there)
 		<-gate
 	}))
-	return func() { <-there; close(gate) }
+	return there, func() { <-there; close(gate) }
 }
 
 func within(t *testing.T, why string, f func() bool) {
@@ -203,7 +210,7 @@
 		conn := r.dial()
 		conn.Write([]byte(strings.Replace(ask("1", "GET", "look", ""), "900m", "60000m", 1)))
 		within(t, "it is queued", func() bool { return len(r.loop.queue) == 1 })
-		second := r.halt()
+		_, second := r.haltBehind()
 		leave(conn, how)
 		within(t, "its leaving is queued behind", func() bool { return len(r.loop.queue) == 3 })
 		first() // the exchange is sent, the leaving is not heard of
@@ -283,7 +290,7 @@
 		conns[n].Write([]byte(ask(fmt.Sprint(n), "GET", "look", "")))
 	}
 	within(t, "the burst waits", func() bool { return len(r.loop.queue) == len(conns) })
-	then := r.halt() // behind the burst: what is told after it and stays in the queue is not heard until all is answered
+	_, then := r.haltBehind() // behind the burst: what is told after it and stays in the queue is not heard until all is answered
 	close(tell)
 	within(t, "the drain waits too", func() bool { return len(r.loop.queue) > len(conns)+1 || len(r.loop.news) > 0 })
 	goOn()
