--- a/logic/logic.go
+++ b/logic/logic.go
@@ -66,6 +66,7 @@
 	testsClear, askFit             = 0.14, 0.5        // settled early so far off it; time left for what is held
 	leftFall                       = 0.005            // of an exchange in the time a product usually has, down
 	wayPower                       = 8.0              // of the shares of legs in time, there over here
+	wayRise, reachFree, reachLeast = 0.1, 0.25, 0.001 // of a way's least time; of its time; draw of who is too far
 	heatFade, keyAway              = 0.25, 30.0       // of the outcomes' fade; the draw of other zones, by key
 	homeLegs, homeLeast, homeCalm  = 5.0, 4.0, 60.0   // remembered legs a place; places; how lost legs end it
 	homeLeave, homeBeyond          = 0.7, 0.01        // less for the familiar elsewhere; for strange ones there
@@ -747,7 +748,8 @@
 	return most * math.Min(math.Pow(b.rank(x)/b.usualRank, fitRank), 1)
 }
 
-// away is the part of its odds that another zone gets: by the price, and by how legs there fare against home.
+// away is the part of its odds that another zone gets: by the price, by how long the way is, and by how legs
+// there fare against home.
 func (b *Balancer) away(x *exchange, e *endpoint) float64 {
 	odds := b.awayOdds
 	if e.zone == b.zone {
@@ -755,7 +757,19 @@
 	} else if b.warmKeys && x.key != 0 {
 		odds = b.awayKeys
 	}
-	return math.Min(odds*math.Pow(b.way(e.zone)/b.way(b.zone), wayPower), 1)
+	return math.Min(odds*b.reach(x, e)*math.Pow(b.way(e.zone)/b.way(b.zone), wayPower), 1)
+}
+
+// reach is what the time of the way leaves of a product's draw. Work varies, a way hardly does: the least that
+// answers take, there less here, is the way. A leg that can't be in time tells nothing of a queue. It also keeps
+// legs off ways that grow slow, and does harm where a zone's answers are all long for another reason.
+func (b *Balancer) reach(x *exchange, e *endpoint) float64 {
+	here, far := b.ways[b.zone], b.ways[e.zone]
+	if here == 0 || far <= here || x.product.Expected <= 0 {
+		return 1
+	}
+	left := math.Max(1-(far-here)/float64(x.product.Expected), 0) / (1 - reachFree)
+	return math.Min(math.Max(left*left, reachLeast), 1)
 }
 
 // load is the design's count of legs in flight; in a pool, where all are known, by the time they take there.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1510,3 +1510,62 @@
 	}
 	assert.Contains(t, []EndpointID{"e", "f", "g", "h"}, sentTo(r))
 }
+
+// A leg over a way that takes longer than its product has is late however idle all are: it is not drawn, and not taken for a
+// sign of a queue. Products with more time are sent there as before, and where home has nothing left all are. Work varies, so
+// that single answers from there are as quick as some from home, and many from home as slow as any.
+func TestWaysTooLongForAProduct(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		expected    Millis
+		way         float64 // ms to the other zone and back
+		homeGone    bool
+		least, most int // legs of 400 to the other zone, which has as many endpoints
+	}{
+		{"too long", 30, 40, false, 0, 20}, {"most of its time", 80, 40, false, 0, 60}, {"hardly any of its time", 4000, 40, false, 120, 280},
+		{"no longer than home", 30, 0, false, 120, 280}, {"nothing at home", 30, 40, true, 400, 400},
+	} {
+		b, r := begin("abcdefgh")
+		for _, name := range "efgh" {
+			b.Listed(EndpointID(name), Running, 1, 0, 0, 1, 0)
+		}
+		b.ListEnds(false)
+		dice := uint64(3)
+		answer := func(n int) (to EndpointID) {
+			x := ExchangeID(fmt.Sprint(n))
+			if to = arrive(b, r, x, replayable); to == "" {
+				b.Left(x)
+				return to
+			}
+			dice = dice*6364136223846793005 + 1442695040888963407
+			took := 1 - 20*math.Log(float64(dice>>33%1000)/1000+0.0005)
+			if b.known[to].zone == 1 {
+				took += c.way
+			}
+			b.At(b.now + Millis(took))
+			b.Ended(x, 0, Satisfied, Millis(took), true)
+			beats(b, 1)
+			return to
+		}
+		for n := range 200 { // with much time for each it is seen how long the ways are
+			answer(n)
+		}
+		b.products[replayable].Expected, b.products[replayable].Abandon = c.expected, c.expected
+		for _, name := range "abcd" {
+			if c.homeGone {
+				b.Listed(EndpointID(name), Gone, 0, 0, 0, 1, 0)
+			}
+		}
+		b.ListEnds(false)
+		there, sent := 0, 0
+		for n := 200; sent < 400 && n < 5000; n++ {
+			b.lost, b.lostLong, b.zones[0], b.zones[1] = 0, 0, tried{}, tried{} // by the way alone, not by how legs fare
+			if to := answer(n); to != "" {
+				sent++
+				there += int(b.known[to].zone)
+			}
+		}
+		assert.Equal(t, 400, sent, c.name)
+		assert.True(t, there >= c.least && there <= c.most, "%s: %d of 400 there, ways %.1f", c.name, there, b.ways)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -124,7 +124,8 @@
 	stuckNoted                                      bool
 	stuckAt                                         Millis
 	heatAll                                         float64
-	zones                                           []tried // by zone: legs lost, and in time
+	zones                                           []tried   // by zone: legs lost, and in time
+	ways                                            []float64 // by zone: the least time of its answers, rising slowly
 	order                                           []int
 	full                                            []bool // in a drain, by product's place: none has room for it
 	ring                                            []*endpoint
@@ -309,6 +310,11 @@
 		p.best, p.wide = p.usual, math.Sqrt(math.Max(p.square/(p.usual*p.usual)-1, 0))
 	}
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
+	if w := &b.ways[e.zone]; *w == 0 || took < *w*(1+wayRise) {
+		*w = took
+	} else {
+		*w *= 1 + wayRise
+	}
 	b.slows(took / math.Max(p.best, 1e-3))
 	e.good++
 }
@@ -349,7 +355,7 @@
 	}
 	// Back by hand means restarted, whatever older start the list still tells.
 	for int(max(zone, b.zone)) >= len(b.zones) {
-		b.zones = append(b.zones, tried{})
+		b.zones, b.ways = append(b.zones, tried{}), append(b.ways, 0)
 	}
 	e.zone, e.cell, e.size, e.readyAt = zone, cell, cmp.Or(max(size, 0), 1), max(readyAt, b.back[id], 0)
 	e.kind, e.open[len(b.products)] = kind, true
