Rehearsals hold clients that left to 0.1 s, for first legs and further ones

The term that is in force now: no attempt begins over 0.1 s after its client closed or cancelled. The rehearsals' rule stood at 0.3 s (leftGrace).

--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -248,7 +248,7 @@
 )
 
 // leftGrace is the time, in ms, in which a client's leaving must be known.
-const leftGrace = 300
+const leftGrace = 100
 
 // Check holds the accounts against the rules. Call it when all has ended.
 func (b *Book) Check() (broken []Broken) {
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -84,7 +84,7 @@
 }
 
 // Clients that leave while their exchanges wait, some with more behind their request, some with a reset: by the endpoints'
-// own accounts nothing is sent on for them 0.3 s later, steadily, in overload, with endpoints hanging, during restarts and a
+// own accounts nothing, first leg or further, is sent on for them 0.1 s later, steadily, in overload, with endpoints hanging, during restarts and a
 // hand-over. That the check can fail is shown by a program that does not hear of the leaving.
 func TestNothingIsSentOnForClientsThatLeft(t *testing.T) { // not beside the others: its verdict is one of time
 	for _, defect := range []string{"", "deserted"} {
@@ -93,7 +93,7 @@
 			result, err := play(t, &Rig{Program: program(t, "seeded"), Env: []string{"LYNXJUNCTION_DEFECT=" + defect}}, "leave.toml")
 			require.NoError(t, err)
 			left, late := result.Book.Left()
-			t.Logf("%d clients left, %d legs came over 0.3 s later", left, late)
+			t.Logf("%d clients left, %d legs came over 0.1 s later", left, late)
 			assert.Greater(t, left, 150)
 			assert.Equal(t, defect != "", late > 0)
 			for _, b := range result.Broken {
