--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -84,8 +84,8 @@
 }
 
 // Clients that leave while their exchanges wait, some with more behind their request, some with a reset: by the endpoints'
-// own accounts nothing, first leg or further, is sent on for them 0.1 s later, steadily, in overload, with endpoints hanging, during restarts and a
-// hand-over. That the check can fail is shown by a program that does not hear of the leaving.
+// own accounts nothing, first leg or further, is sent on for them 0.1 s later, steadily, in overload, with endpoints hanging,
+// during restarts and a hand-over. That the check can fail is shown by a program that does not hear of the leaving.
 func TestNothingIsSentOnForClientsThatLeft(t *testing.T) { // not beside the others: its verdict is one of time
 	for _, defect := range []string{"", "deserted"} {
 		t.Run("defect "+defect, func(t *testing.T) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -66,7 +66,7 @@
 	testsClear, askFit             = 0.14, 0.5        // settled early so far off it; time left for what is held
 	leftFall                       = 0.005            // of an exchange in the time a product usually has, down
 	wayPower                       = 8.0              // of the shares of legs in time, there over here
-	wayRise, reachFree, reachLeast = 0.1, 0.25, 0.001 // of a way's least time; of its time; draw of who is too far
+	wayRise, reachFree, reachLeast = 0.1, 0.25, 0.001 // of a way's least; of the time; draw of too far ones
 	heatFade, keyAway              = 0.25, 30.0       // of the outcomes' fade; the draw of other zones, by key
 	homeLegs, homeLeast, homeCalm  = 5.0, 4.0, 60.0   // remembered legs a place; places; how lost legs end it
 	homeLeave, homeBeyond          = 0.7, 0.01        // less for the familiar elsewhere; for strange ones there
@@ -760,9 +760,9 @@
 	return math.Min(odds*b.reach(x, e)*math.Pow(b.way(e.zone)/b.way(b.zone), wayPower), 1)
 }
 
-// reach is what the time of the way leaves of a product's draw. Work varies, a way hardly does: the least that
-// answers take, there less here, is the way. A leg that can't be in time tells nothing of a queue. It also keeps
-// legs off ways that grow slow, and does harm where a zone's answers are all long for another reason.
+// reach is what the time of the way leaves of a product's draw. Work varies, a way hardly does: the least
+// that answers take, there less here, is the way. A leg that can't be in time tells nothing of a queue. It
+// also keeps legs off slow ways, and does harm where a zone's answers are all long for another reason.
 func (b *Balancer) reach(x *exchange, e *endpoint) float64 {
 	here, far := b.ways[b.zone], b.ways[e.zone]
 	if here == 0 || far <= here || x.product.Expected <= 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -310,11 +310,7 @@
 		p.best, p.wide = p.usual, math.Sqrt(math.Max(p.square/(p.usual*p.usual)-1, 0))
 	}
 	b.usual += math.Max(1/float64(b.samples), 0.005) * (took - b.usual)
-	if w := &b.ways[e.zone]; *w == 0 || took < *w*(1+wayRise) {
-		*w = took
-	} else {
-		*w *= 1 + wayRise
-	}
+	b.ways[e.zone] = math.Min(took, cmp.Or(b.ways[e.zone]*(1+wayRise), took))
 	b.slows(took / math.Max(p.best, 1e-3))
 	e.good++
 }
