Logs and counters tell of every call to discovery, of drains, and why a request was given up

The line that ends an outage now has its length, the number of calls and the last eight that failed, with stage, time and error; one line names endpoints that drain; at debug level each call, attempt and refusal is told with the request's id. Counters: calls by stage of failure, outages, the longest. No decision changed.

--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -24,6 +24,8 @@
 	dialled, reused, retired, unframed, probes                                          atomic.Int64
 	standstills, standstillMs                                                           atomic.Int64
 	lists, listLost, listVersion, endpoints, reloads, reloadFaults                      atomic.Int64
+	listCalls, listOutages, longestOutageMs                                             atomic.Int64
+	listCallsFailed                                                                     [callStages]atomic.Int64
 	streams, streamsBroken                                                              atomic.Int64
 	avoided, consoleCalls                                                               atomic.Int64
 	messagesTold, messagesHeard, messagesLost                                           atomic.Int64
@@ -55,6 +57,12 @@
 	}
 }
 
+// outageEnded books the time in which discovery was not heard. Only the loop calls it.
+func (c *Counters) outageEnded(lasted time.Duration) {
+	c.listOutages.Add(1)
+	c.longestOutageMs.Store(max(c.longestOutageMs.Load(), lasted.Milliseconds()))
+}
+
 var outcomeNames = [logic.NotSent + 1]string{
 	"unclear", "satisfied", "errored", "full", "timed_out", "no_connection", "reset", "cancelled", "not_sent",
 }
@@ -74,12 +82,16 @@
 		{"upstream_unframed", &c.unframed}, {"probes", &c.probes}, {"streams", &c.streams}, {"streams_broken", &c.streamsBroken},
 		{"standstills", &c.standstills}, {"standstill_ms", &c.standstillMs}, {"lists", &c.lists}, {"lists_lost", &c.listLost},
 		{"list_version", &c.listVersion}, {"list_endpoints", &c.endpoints},
+		{"list_calls", &c.listCalls}, {"list_outages", &c.listOutages}, {"list_outage_longest_ms", &c.longestOutageMs},
 		{"endpoints_avoided", &c.avoided}, {"console_calls", &c.consoleCalls},
 		{"messages_told", &c.messagesTold}, {"messages_heard", &c.messagesHeard}, {"messages_lost", &c.messagesLost},
 		{"reloads", &c.reloads}, {"reload_faults", &c.reloadFaults},
 	} {
 		visit(f.name, f.n.Load())
 	}
+	for stage := range c.listCallsFailed {
+		visit("list_calls_failed_"+callStageNames[stage], c.listCallsFailed[stage].Load())
+	}
 	for o := range c.legs {
 		visit("legs_"+outcomeNames[o], c.legs[o].Load())
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -124,6 +124,7 @@
 	version int64 // by this discovery's own count; noVersion asks for the whole list
 	current int   // number of the watch in force; what an older one still says is stale
 	stop    context.CancelFunc
+	outage  outage
 	live    bool // the watch in force has not ended
 	heard   bool // it has told something
 	asked   logic.Millis
@@ -237,9 +238,11 @@
 	number, addr, after := d.current, d.addr, d.version
 	ctx, d.stop = context.WithCancel(ctx)
 	go func() {
-		err := d.follow(ctx, addr, after, func(i inventory) { post(listing{inventory: i, watch: number}) })
+		stage := connecting
+		began := time.Now()
+		err := d.follow(ctx, addr, after, &stage, func(i inventory) { post(listing{inventory: i, watch: number}) })
 		if ctx.Err() == nil {
-			post(listLost{number, err})
+			post(listLost{watch: number, cause: &callError{Addr: addr, Stage: stage, Began: began, Took: time.Since(began), Cause: err}})
 		}
 	}()
 }
@@ -296,7 +299,7 @@
 }
 
 // follow hands on each line of one watch until it ends; a watch that says nothing for over a beat has ended.
-func (d *lists) follow(ctx context.Context, addr string, after int64, each func(inventory)) (err error) {
+func (d *lists) follow(ctx context.Context, addr string, after int64, stage *callStage, each func(inventory)) (err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
 			err = fmt.Errorf("panic in the watch: %v", fault)
@@ -307,6 +310,7 @@
 	if err != nil {
 		return err
 	}
+	*stage = awaitingHead
 	conn := &hearing{Conn: dialled, silence: d.silence}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
@@ -326,6 +330,7 @@
 	if got.StatusCode != http.StatusOK {
 		return errors.New(got.Status)
 	}
+	*stage = awaitingList
 	var parser fastjson.Parser
 	var said words
 	for part := make([]byte, 8<<10); ; {
@@ -351,8 +356,12 @@
 				return err
 			}
 			each(i)
+			*stage = following
 		}
 		conn.inside = said.depth > 0
+		if conn.inside {
+			*stage = insideList
+		}
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/sidecar/discovery_outage.go
@@ -0,0 +1,113 @@
+// Discovery outages: what happened to the calls to discovery between two lists. This file owns the record that is logged
+// once a list is heard again, and the stages of a call. It must never decide when discovery is called.
+package sidecar
+
+import (
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// callStage is how far a call to discovery came.
+type callStage int
+
+const (
+	connecting callStage = iota
+	awaitingHead
+	awaitingList
+	insideList // part of a list or a change has come
+	following  // at least one list or change has come whole
+	callStages
+)
+
+var callStageNames = [callStages]string{"connecting", "awaiting_head", "awaiting_list", "inside_list", "following"}
+
+func (s callStage) String() string { return callStageNames[s] }
+
+// callError is why and where a call to discovery ended.
+type callError struct {
+	Addr  string
+	Stage callStage
+	Began time.Time
+	Took  time.Duration
+	Cause error
+}
+
+func (e *callError) Error() string {
+	return fmt.Sprintf("discovery %s, %s: %v", e.Addr, e.Stage, e.Cause)
+}
+
+func (e *callError) Unwrap() error { return e.Cause }
+
+// MarshalLogObject writes the call as fields, for the log.
+func (e *callError) MarshalLogObject(to zapcore.ObjectEncoder) error {
+	to.AddString("addr", e.Addr)
+	to.AddString("stage", e.Stage.String())
+	to.AddFloat64("took_ms", milliseconds(e.Took))
+	to.AddString("error", fmt.Sprint(e.Cause))
+	return nil
+}
+
+// outageCallsKept bounds the calls that one log line tells of: the last ones.
+const outageCallsKept = 8
+
+// outage is the time from the end of a watch, or from a new configuration, to the next list. Its zero value is none.
+type outage struct {
+	began  time.Time
+	calls  int
+	failed []outageCall
+}
+
+// outageCall is one failed call, with its start counted from the outage's.
+type outageCall struct {
+	after time.Duration
+	*callError
+}
+
+// MarshalLogObject writes the call as fields, for the log.
+func (c outageCall) MarshalLogObject(to zapcore.ObjectEncoder) error {
+	to.AddFloat64("after_ms", milliseconds(c.after))
+	return c.callError.MarshalLogObject(to)
+}
+
+type outageCalls []outageCall
+
+// MarshalLogArray writes the calls, for the log.
+func (c outageCalls) MarshalLogArray(to zapcore.ArrayEncoder) error {
+	for _, call := range c {
+		if err := to.AppendObject(call); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// begin starts an outage unless one goes on.
+func (o *outage) begin(now time.Time) {
+	if o.began.IsZero() {
+		o.began = now
+	}
+}
+
+// fail books a call that brought no list.
+func (o *outage) fail(e *callError) {
+	if len(o.failed) == outageCallsKept {
+		o.failed = append(o.failed[:0], o.failed[1:]...)
+	}
+	o.failed = append(o.failed, outageCall{after: e.Began.Sub(o.began), callError: e})
+}
+
+// fields tell of the outage that ends now.
+func (o *outage) fields(now time.Time) []zap.Field {
+	if o.began.IsZero() {
+		return nil
+	}
+	return []zap.Field{
+		zap.Float64("outage_ms", milliseconds(now.Sub(o.began))), zap.Int("calls", o.calls),
+		zap.Array("last_failed", outageCalls(o.failed)),
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -5,6 +5,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -90,7 +91,7 @@
 	}
 	listLost struct {
 		watch int
-		cause error
+		cause error // a *callError, unless the process itself gave the watch up
 	}
 	moved    struct{ discovery string } // the configuration names another
 	question struct{}                   // what does the module see?
@@ -125,6 +126,9 @@
 // newsMost are lists and changes that wait for the loop at any time.
 const newsMost = 64
 
+// loggedEndpoints bounds the endpoints that one log line names.
+const loggedEndpoints = 8
+
 // rememberedIDs are the ids of finished exchanges, by which one that comes again is known.
 const rememberedIDs = 4096
 
@@ -354,6 +358,7 @@
 		return
 	}
 	l.counters.left.Add(1)
+	l.log.Debug("client left", zap.String("id", string(e.x.id)), zap.Int("attempts_out", e.x.out))
 	e.x.left.Store(true)
 	e.x.answer <- answer{status: nobody}
 	l.conclude(e.x)
@@ -375,6 +380,7 @@
 		return // another alarm is set: its time began later than it seemed
 	}
 	l.counters.overdue.Add(1)
+	l.logGivenUp(x, "request overdue", logic.Legged)
 	l.reply(x, answer{status: http.StatusGatewayTimeout})
 	l.module.Left(x.id)
 	l.forget(x)
@@ -438,8 +444,11 @@
 	if e.fault != nil {
 		outcome, g.never = e.fault.outcome, e.fault.reach <= writing || e.fault.outcome == logic.Full
 	}
-	l.log.Debug("leg", zap.String("outcome", outcomeNames[outcome]), zap.NamedError("fault", faultOf(e.fault)),
-		zap.String("addr", g.addr), zap.Int("product", int(x.product)), zap.Float64("took_ms", float64(l.now-g.sent)))
+	if line := l.log.Check(zap.DebugLevel, "leg"); line != nil {
+		line.Write(zap.String("id", string(x.id)), zap.Int("attempt", int(e.n)), zap.String("outcome", outcomeNames[outcome]),
+			zap.NamedError("fault", faultOf(e.fault)), zap.String("addr", g.addr), zap.Int("product", int(x.product)),
+			zap.Float64("took_ms", float64(l.now-g.sent)))
+	}
 	l.counters.legs[outcome].Add(1)
 	x.late = outcome == logic.TimedOut
 	if outcome == logic.Satisfied && !x.answered {
@@ -480,6 +489,7 @@
 		}
 	}()
 	full := e.full && !older
+	var out []string // endpoints that were in service until now
 	if full {
 		l.module.ListStarts()
 		l.list.forgetAll()
@@ -493,6 +503,9 @@
 		if s.running && l.list.known(id, s.addr) {
 			health = logic.Running
 		}
+		if health != logic.Running && l.list.entries[id].running {
+			out = append(out, s.id)
+		}
 		if s.gone {
 			health = logic.Gone
 			l.up.drop(id)
@@ -507,15 +520,19 @@
 	}
 	if full {
 		for _, id := range l.list.missing() {
+			out = append(out, string(id))
 			l.up.drop(id)
 		}
 	}
 	if !older && (e.fromDisk || e.watch == l.list.current) {
 		l.list.version = e.version
 	}
-	if !e.fromDisk && l.list.silent {
-		l.list.silent = false
-		l.log.Info("the list is heard again", zap.Int64("version", e.version))
+	if !e.fromDisk {
+		l.endOutage(e.version)
+	}
+	if len(out) > 0 {
+		l.log.Info("endpoints drain or are gone", zap.Int("count", len(out)), zap.Strings("first", out[:min(len(out), loggedEndpoints)]),
+			zap.Int64("version", e.version), zap.Bool("whole_list", full))
 	}
 	l.up.share(len(l.list.named))
 	l.module.ListEnds(e.fromDisk)
@@ -538,6 +555,12 @@
 	}
 	l.list.live = false
 	l.counters.listLost.Add(1)
+	l.list.outage.begin(time.Now())
+	var failed *callError
+	if errors.As(e.cause, &failed) && !l.list.heard {
+		l.list.outage.fail(failed)
+		l.counters.listCallsFailed[failed.Stage].Add(1)
+	}
 	// While discovery has no answer for a whole fleet, one line tells it, not one for each call.
 	level := zap.InfoLevel
 	if l.list.silent {
@@ -549,8 +572,21 @@
 	l.module.ListFailed()
 }
 
+// endOutage logs and counts what went before a list, if discovery was not heard for a while.
+func (l *loop) endOutage(version int64) {
+	l.list.silent = false
+	if l.list.outage.began.IsZero() {
+		return
+	}
+	now := time.Now()
+	l.counters.outageEnded(now.Sub(l.list.outage.began))
+	l.log.Info("the list is heard again", append(l.list.outage.fields(now), zap.Int64("version", version))...)
+	l.list.outage = outage{}
+}
+
 func (e moved) happen(l *loop) {
 	if l.list.move(e.discovery) {
+		l.list.outage.begin(time.Now())
 		l.Watch()
 	}
 }
@@ -576,6 +612,10 @@
 	n := logic.LegNo(len(x.legs))
 	x.legs = append(x.legs, g)
 	x.out++
+	if line := l.log.Check(zap.DebugLevel, "attempt begins"); line != nil {
+		line.Write(zap.String("id", string(id)), zap.Int("attempt", int(n)), zap.Int("others_out", x.out-1), zap.String("endpoint", string(to)),
+			zap.Float64("gives_up_after_ms", float64(giveUpAfter)), zap.Float64("left_ms", float64(left)))
+	}
 	over := legOver{x: x, n: n}
 	g.began = func(r *reply) { l.post(legBegan{x, n, r}) }
 	g.spent, g.whole = func() { l.post(bodySpent{x}) }, func() { l.post(bodyWhole{x}) }
@@ -636,6 +676,7 @@
 func (l *loop) Dismiss(id logic.ExchangeID, why logic.Reason, comeBackAfter logic.Millis) {
 	if x := l.open[id]; x != nil && !x.answered {
 		l.counters.givenUp[why].Add(1)
+		l.logGivenUp(x, "request refused", why)
 		l.reply(x, answer{status: http.StatusServiceUnavailable, comeBack: comeBackAfter})
 		l.forget(x)
 	}
@@ -644,6 +685,7 @@
 func (l *loop) Forfeit(id logic.ExchangeID, why logic.Reason) {
 	if x := l.open[id]; x != nil && !x.answered {
 		l.counters.givenUp[why].Add(1)
+		l.logGivenUp(x, "request failed", why)
 		status := http.StatusBadGateway
 		if x.late {
 			status = http.StatusGatewayTimeout
@@ -653,11 +695,22 @@
 	}
 }
 
+// logGivenUp tells at debug level why a request gets no endpoint's answer.
+func (l *loop) logGivenUp(x *exchange, what string, why logic.Reason) {
+	if line := l.log.Check(zap.DebugLevel, what); line != nil {
+		line.Write(zap.String("id", string(x.id)), zap.String("reason", reasonNames[why]), zap.Int("attempts", len(x.legs)),
+			zap.Float64("left_ms", float64(x.abandon-l.now)))
+	}
+}
+
 func (l *loop) Wake(after logic.Millis, t logic.TimerID) { l.set(alarm{at: l.now + after, id: t}) }
 
 func (l *loop) Watch() {
 	if !l.list.live {
 		l.list.asked = l.now
+		l.list.outage.calls++
+		l.counters.listCalls.Add(1)
+		l.log.Debug("discovery is called", zap.String("addr", l.list.addr), zap.Int("call", l.list.current+1), zap.Int64("after", l.list.version))
 	}
 	l.list.watch(l.ctx, l.postNews)
 }
