--- a/cmd/lynxjunction/main.go
+++ b/cmd/lynxjunction/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -62,7 +63,8 @@
 			return start.Serve(ctx, log, again, read)
 		},
 	}
-	serve.Flags().StringVar(&level, "log", "info", "least level that is logged: debug, info, warn, error")
+	serve.Flags().StringVar(&level, "log", cmp.Or(os.Getenv("RELAY_LOG"), "info"),
+		"least level that is logged: debug, info, warn, error; RELAY_LOG is the default")
 	check := &cobra.Command{
 		Use: "check", Short: "Check a configuration and say what it holds", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
