Calls to discovery are paced by the nearest deadline, and a silent call holds up no other

Cause: every part of the way to the next whole list had a bound of its own and nothing knew the sum, nor the 4 s after a new configuration; while a call was silent (2.5 s) no other was made; configurations in a row each threw an open call away, whose work discovery did all the same. Change: logic/discovery.go keeps all spans as deadlines; further calls are made while one is open (four at most), more seldom where answers took long; calls to earlier discoveries stay open and believed until the new one tells; a call waits 4 s for its list, longer than discovery holds it. TestSettled's first call is an open one now, since a call that has ended is no longer believed.

--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -440,7 +440,7 @@
 		l.list.zones = nil
 		l.guarded(nil, func() {
 			listing{inventory: inventory{version: 9, full: true, servers: []entry{{id: "x", addr: "127.0.0.1:1", running: true}}},
-				watch: l.list.current}.happen(l)
+				watch: l.list.current.number}.happen(l)
 		})
 		l.list.zones = names
 	}))
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -28,19 +28,21 @@
 	lineTime  = beat / 4      // from part of a line to more of it
 	listMost  = 4 << 20
 	lateReads = 16
-	dialLast  = time.Second // news of a new discovery count as told 4 s after SIGHUP: there must be time for two more
+	lateRead  = beat / 200
+	dialLast  = beat // connections may come up late; the next call does not wait for this one
 
-	// A change counts as told so long after discovery had it and could be reached, whatever failed before. A call that
-	// began just before may fail for the whole of its time; then comes a wait, then a call that is answered within answerIn.
-	toldLast = 6 * time.Second
-	answerIn = time.Second
-	lateRead = beat / 200
+	// A change counts as notified so long after discovery had it and could be reached, whatever failed before; after a new
+	// configuration; after a watch ended in place of telling, as a long poll does. The module keeps these as deadlines.
+	notifiedAfterReached = 6 * time.Second
+	notifiedAfterMoved   = 4 * time.Second
+	notifiedAfterEnded   = 2 * time.Second
+	// longestWait is between two calls that fail at once: several have to fit wherever discovery's return may lie.
+	longestWait = notifiedAfterReached / 5
 )
 
-// waitLongest is what toldLast leaves for the wait behind a call that failed, where a call may be silent for so long.
-func waitLongest(silence time.Duration) time.Duration {
-	return max(toldLast-answerIn-silence-lateReads*lateRead, beat/4)
-}
+// answerLast is how long a call waits for its first list: longer than discovery itself holds calls that wait their turn. One
+// that is given up before is work done for nobody, and the next stands at the end of the queue.
+func (d *lists) answerLast() time.Duration { return d.silence * 8 / 5 }
 
 // entry is one entry of a list.
 type entry struct {
@@ -56,6 +58,9 @@
 // restart, makes discovery write every line to everybody, and leaves it no time for changes.
 const noVersion = -1
 
+// unasked is the number of no call: that of lists which come by themselves.
+const unasked = 0
+
 // inventory is a list or a change of it.
 type inventory struct {
 	version int64
@@ -116,26 +121,45 @@
 	return list
 }
 
-// lists follows discovery. All but the watch's own goroutine belongs to the loop.
+// lists follows discovery. All but each call's own goroutine belongs to the loop.
 type lists struct {
 	addr    string
 	silence time.Duration
 	zones   *terms.Names
-	version int64 // by this discovery's own count; noVersion asks for the whole list
-	current int   // number of the watch in force; what an older one still says is stale
-	stop    context.CancelFunc
+	version int64            // by this discovery's own count; noVersion asks for the whole list
+	calls   map[int]openCall // that have told nothing yet, by number, to this discovery and to those before
+	last    int              // number of the last call
+	moves   int              // configurations that named another discovery
+	current watch            // the watch in force
+	before  watch            // of the discovery before, believed until the new one has told its list
 	outage  outage
-	live    bool // the watch in force has not ended
-	heard   bool // it has told something
-	asked   logic.Millis
-	silent  bool // a watch has ended, and no list came since
-	before  int  // number of the watch of the discovery before, believed until the new one has told its list
-	stopOld context.CancelFunc
+	silent  bool                      // a watch has ended, and no list came since
 	named   map[logic.EndpointID]bool // true: by the last whole list or since
 	addrs   map[logic.EndpointID]bool // had an address once
 	entries map[logic.EndpointID]entry
 }
 
+// openCall is a call to discovery that has told nothing yet.
+type openCall struct {
+	began time.Time
+	moves int // as they were when it began: less than now, and another discovery was in force
+	stop  context.CancelFunc
+}
+
+// watch is a call that has told a list. Its zero value is none.
+type watch struct {
+	number int
+	stop   context.CancelFunc
+	live   bool // it has not ended
+}
+
+func (w *watch) end() {
+	if w.stop != nil {
+		w.stop()
+	}
+	*w = watch{}
+}
+
 // inventory is the list as it stands.
 func (d *lists) inventory() inventory {
 	i := inventory{version: d.version, full: true}
@@ -147,7 +171,7 @@
 
 func newLists(addr string, silence time.Duration, names *terms.Names) *lists {
 	return &lists{
-		addr: addr, version: noVersion, silence: silence, zones: names, stop: func() {}, stopOld: func() {}, named: map[logic.EndpointID]bool{},
+		addr: addr, version: noVersion, silence: silence, zones: names, calls: map[int]openCall{}, named: map[logic.EndpointID]bool{},
 		addrs: map[logic.EndpointID]bool{}, entries: map[logic.EndpointID]entry{},
 	}
 }
@@ -189,62 +213,115 @@
 	return gone
 }
 
-// move turns to another discovery. The old one goes on telling for a moment: a drain in its last words counts as told,
-// and must not be thrown away while the new one is still being asked.
+// move turns to another discovery. The old one goes on telling for a moment: a drain in its last words counts as told, and
+// must not be thrown away while the new one is still being asked. The same goes for the calls to it that are open: discovery
+// does their work whether or not they are given up. The discovery that is turned back to is called anew too: what its old
+// watch missed in between would not be noticed.
 func (d *lists) move(addr string) (moved bool) {
 	if addr == d.addr {
 		return false
 	}
-	if d.heard {
-		d.stopOld()
-		d.before, d.stopOld = d.current, d.stop
-	} else {
-		d.stop()
-	}
 	// Nothing says that the new one counts on from the old one's versions: it is asked for the whole list.
-	d.addr, d.version, d.stop, d.live = addr, noVersion, func() {}, false
+	d.addr, d.version = addr, noVersion
+	d.moves++
+	if d.current.live {
+		d.before.end()
+		d.before, d.current = d.current, watch{}
+	}
+	d.current.end()
+	d.dropOldCalls()
 	return true
 }
 
-// believes tells whether what a watch says still counts. The new discovery's first word ends the old one's.
-func (d *lists) believes(watch int) bool {
-	if watch == d.current && !d.heard {
-		d.heard, d.before = true, 0
-		d.stopOld()
+// oldCallsMost bounds the open calls to discoveries that are no longer in force.
+const oldCallsMost = 4
+
+// dropOldCalls gives up the oldest calls to earlier discoveries beyond their bound.
+func (d *lists) dropOldCalls() {
+	var old []int
+	for number, c := range d.calls {
+		if c.moves != d.moves {
+			old = append(old, number)
+		}
+	}
+	slices.Sort(old)
+	for _, number := range old[:max(len(old)-oldCallsMost, 0)] {
+		d.calls[number].stop()
+		delete(d.calls, number)
+	}
+}
+
+func (d *lists) endCalls() {
+	for _, c := range d.calls {
+		c.stop()
+	}
+	clear(d.calls)
+}
+
+// believes tells whether what a call says still counts, and whether it is the first word of a watch that is now in force.
+// The new discovery's first word ends all that the one before still says.
+func (d *lists) believes(number int) (believed, first bool) {
+	c, open := d.calls[number]
+	switch {
+	case number == unasked:
+		return d.last == 0, false
+	case number == d.current.number || number == d.before.number:
+		return true, false
+	case !open:
+		return false, false
 	}
-	return watch == d.current || watch == d.before
+	delete(d.calls, number)
+	told := watch{number: number, stop: c.stop, live: true}
+	if c.moves != d.moves {
+		d.before.end()
+		d.before = told
+		return true, false
+	}
+	d.before.end()
+	d.endCalls()
+	d.current = told
+	return true, true
 }
 
 // older tells that a list comes from before what this watch, or the one before it, has told already.
 func (d *lists) older(e listing) bool {
-	return !e.fromDisk && e.watch == d.current && e.version >= 0 && e.version < d.version
+	return !e.fromDisk && e.watch == d.current.number && e.version >= 0 && e.version < d.version
 }
 
 // again has the whole list asked for anew: what was told does not add up.
 func (d *lists) again() {
-	d.stop()
-	d.version, d.live = noVersion, false
+	d.current.end()
+	d.version = noVersion
+}
+
+// age is how long ago a call began that has told nothing yet; 0 for any other.
+func (d *lists) age(number int) time.Duration {
+	if c, open := d.calls[number]; open {
+		return time.Since(c.began)
+	}
+	return 0
 }
 
-// watch starts the one watch in place of any that has ended. A timer of the module that was set before the discovery
-// moved must not break off the watch of the new one.
-func (d *lists) watch(ctx context.Context, post func(event)) {
-	if d.live {
-		return
-	}
-	d.stop()
-	d.current++
-	d.live, d.heard = true, false
-	number, addr, after := d.current, d.addr, d.version
-	ctx, d.stop = context.WithCancel(ctx)
+// call makes one more call to the discovery in force. A timer of the module that was set before a list was heard must not
+// make another.
+func (d *lists) call(ctx context.Context, post func(event)) bool {
+	if d.current.live {
+		return false
+	}
+	d.last++
+	number, after := d.last, d.version
+	c := &callError{Addr: d.addr, Began: time.Now()}
+	ctx, stop := context.WithCancel(ctx)
+	d.calls[number] = openCall{began: c.Began, moves: d.moves, stop: stop}
 	go func() {
-		stage := connecting
-		began := time.Now()
-		err := d.follow(ctx, addr, after, &stage, func(i inventory) { post(listing{inventory: i, watch: number}) })
+		defer stop()
+		c.Cause = d.follow(ctx, after, c, func(i inventory) { post(listing{inventory: i, watch: number}) })
 		if ctx.Err() == nil {
-			post(listLost{watch: number, cause: &callError{Addr: addr, Stage: stage, Began: began, Took: time.Since(began), Cause: err}})
+			c.Took = time.Since(c.Began)
+			post(listLost{watch: number, cause: c})
 		}
 	}()
+	return true
 }
 
 // hearing reads what discovery says. A process that stood still for a while finds its time over and news unread, which
@@ -298,28 +375,28 @@
 	return n, err
 }
 
-// follow hands on each line of one watch until it ends; a watch that says nothing for over a beat has ended.
-func (d *lists) follow(ctx context.Context, addr string, after int64, stage *callStage, each func(inventory)) (err error) {
+// follow hands on each line of one watch until it ends; a watch that says nothing for over a beat has ended. How far it came
+// is noted in c.
+func (d *lists) follow(ctx context.Context, after int64, c *callError, each func(inventory)) (err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
 			err = fmt.Errorf("panic in the watch: %v", fault)
 		}
 	}()
-	began := time.Now()
-	dialled, err := (&net.Dialer{Timeout: min(dialLast, d.silence), KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	dialled, err := (&net.Dialer{Timeout: min(dialLast, d.answerLast()), KeepAlive: -1}).DialContext(ctx, "tcp", c.Addr)
 	if err != nil {
 		return err
 	}
-	*stage = awaitingHead
+	c.Stage = awaitingHead
 	conn := &hearing{Conn: dialled, silence: d.silence}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(began.Add(d.silence)) // dialling takes its part of the time for the first word
+	conn.SetDeadline(c.Began.Add(d.answerLast())) // dialling takes its part of the time for the first word
 	ask := "/discovery/hosts?watch=1"
 	if after >= 0 {
 		ask += "&after=" + strconv.FormatInt(after, 10)
 	}
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", ask, addr); err != nil {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", ask, c.Addr); err != nil {
 		return err
 	}
 	most := &io.LimitedReader{R: conn, N: listMost} // bounds a head or a line without end
@@ -330,7 +407,7 @@
 	if got.StatusCode != http.StatusOK {
 		return errors.New(got.Status)
 	}
-	*stage = awaitingList
+	c.Stage = awaitingList
 	var parser fastjson.Parser
 	var said words
 	for part := make([]byte, 8<<10); ; {
@@ -341,7 +418,8 @@
 				return err
 			}
 			if rest = after; text != nil || beat {
-				conn.SetDeadline(time.Now().Add(d.silence))
+				c.Heard = time.Now()
+				conn.SetDeadline(c.Heard.Add(d.silence))
 				most.N, conn.late = listMost, 0
 			}
 			if text == nil {
@@ -356,11 +434,11 @@
 				return err
 			}
 			each(i)
-			*stage = following
+			c.Stage = following
 		}
 		conn.inside = said.depth > 0
 		if conn.inside {
-			*stage = insideList
+			c.Stage = insideList
 		}
 		if err != nil {
 			return err
--- a/internal/sidecar/discovery_outage.go
+++ b/internal/sidecar/discovery_outage.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/lynxjunction/lynxjunction/logic"
 )
 
 // callStage is how far a call to discovery came.
@@ -31,10 +33,19 @@
 	Addr  string
 	Stage callStage
 	Began time.Time
+	Heard time.Time // the last whole line or beat; zero for none
 	Took  time.Duration
 	Cause error
 }
 
+// silentFor is how long nothing had been heard when the call ended.
+func (e *callError) silentFor() time.Duration {
+	if e.Heard.IsZero() {
+		return 0
+	}
+	return e.Began.Add(e.Took).Sub(e.Heard)
+}
+
 func (e *callError) Error() string {
 	return fmt.Sprintf("discovery %s, %s: %v", e.Addr, e.Stage, e.Cause)
 }
@@ -110,4 +121,6 @@
 	}
 }
 
+func millis(d time.Duration) logic.Millis { return logic.Millis(milliseconds(d)) }
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -159,21 +159,12 @@
 			default:
 				t.Fatal("discovery was never asked")
 			}
-			assert.Less(t, told.Sub(from), toldLast)
+			assert.Less(t, told.Sub(from), notifiedAfterReached)
 			assert.Equal(t, 503, r.status(ask("1", "GET", "look", "")))
 		})
 	}
 }
 
-// What is left for a wait is under the bound for any silence that a call may have.
-func TestWaitLongest(t *testing.T) {
-	for _, silence := range []time.Duration{0, time.Second, 2500 * time.Millisecond, 4 * time.Second} {
-		call := silence + lateReads*lateRead
-		assert.LessOrEqual(t, call+waitLongest(silence)+answerIn, toldLast, silence)
-	}
-	assert.Positive(t, waitLongest(time.Hour))
-}
-
 // What a watch tells takes effect on the next exchange.
 func TestWatchTells(t *testing.T) {
 	a, b := newStandIn(t, say(fine, true)), newStandIn(t, say(fine, true))
@@ -267,7 +258,7 @@
 	<-overs[0]
 	assert.Equal(t, 200, r.status(ask("3", "GET", "look", "")))
 	assert.EqualValues(t, 1, b.requests.Load())
-	r.loop.post(listLost{watch: r.loop.list.current + 1}) // a word of no watch in force
+	r.loop.post(listLost{watch: r.loop.list.last + 1}) // a word of no watch in force
 	reload(d[0].Addr().String(), nil)
 	assert.Equal(t, "/discovery/hosts?watch=1", (<-d[0].seen).RequestURI, "and back")
 	assert.EqualValues(t, 2, d[0].requests.Load())
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -476,8 +476,9 @@
 // drain that was told must not be undone by a word from before it. A new watch that begins with older changes is that of a
 // service which counts anew, and is asked for all it has; a whole list says that by itself.
 func (e listing) happen(l *loop) {
-	first := e.watch == l.list.current && !l.list.heard
-	if !e.fromDisk && !l.list.believes(e.watch) {
+	took := l.list.age(e.watch)
+	believed, first := l.list.believes(e.watch)
+	if !e.fromDisk && !believed {
 		return
 	}
 	older := l.list.older(e) && !(first && e.full)
@@ -485,7 +486,7 @@
 	defer func() {
 		if !whole { // a panic between the list's start and its end: half of it is no list to go by
 			l.list.again()
-			l.module.ListFailed()
+			l.module.ListLost(0)
 		}
 	}()
 	full := e.full && !older
@@ -524,11 +525,11 @@
 			l.up.drop(id)
 		}
 	}
-	if !older && (e.fromDisk || e.watch == l.list.current) {
+	if !older && (e.fromDisk || e.watch == l.list.current.number) {
 		l.list.version = e.version
 	}
-	if !e.fromDisk {
-		l.endOutage(e.version)
+	if first && !older || e.watch == unasked && !e.fromDisk {
+		l.endOutage(e.version, took)
 	}
 	if len(out) > 0 {
 		l.log.Info("endpoints drain or are gone", zap.Int("count", len(out)), zap.Strings("first", out[:min(len(out), loggedEndpoints)]),
@@ -536,6 +537,9 @@
 	}
 	l.up.share(len(l.list.named))
 	l.module.ListEnds(e.fromDisk)
+	if first {
+		l.module.ListHeard(millis(took))
+	}
 	l.counters.lists.Add(1)
 	l.counters.listVersion.Store(e.version)
 	l.counters.endpoints.Store(int64(len(l.list.named)))
@@ -545,49 +549,64 @@
 	}
 	if whole = true; older && first {
 		l.list.again()
-		l.Watch()
+		l.module.ListLost(0)
 	}
 }
 
 func (e listLost) happen(l *loop) {
-	if e.watch != l.list.current {
-		return
-	}
-	l.list.live = false
-	l.counters.listLost.Add(1)
-	l.list.outage.begin(time.Now())
+	now := time.Now()
+	call, open := l.list.calls[e.watch]
+	delete(l.list.calls, e.watch)
+	ended := e.watch == l.list.current.number
 	var failed *callError
-	if errors.As(e.cause, &failed) && !l.list.heard {
-		l.list.outage.fail(failed)
+	if !errors.As(e.cause, &failed) {
+		failed = &callError{Addr: l.list.addr, Began: now, Cause: e.cause}
+	}
+	switch {
+	case ended:
+		l.list.current.live = false
+	case open && call.moves == l.list.moves:
 		l.counters.listCallsFailed[failed.Stage].Add(1)
+	case e.watch == l.list.before.number:
+		l.list.before.end()
+		return
+	default:
+		return // no word of it counts any more
 	}
+	l.counters.listLost.Add(1)
+	l.list.outage.begin(now)
+	l.list.outage.fail(failed)
 	// While discovery has no answer for a whole fleet, one line tells it, not one for each call.
 	level := zap.InfoLevel
 	if l.list.silent {
 		level = zap.DebugLevel
 	}
 	l.list.silent = true
-	l.log.Log(level, "watch ended", zap.Error(e.cause), zap.Bool("had_told", l.list.heard),
-		zap.Float64("lasted_ms", float64(l.now-l.list.asked)))
-	l.module.ListFailed()
+	l.log.Log(level, "watch ended", zap.Error(e.cause), zap.Bool("had_told", ended), zap.Float64("lasted_ms", milliseconds(now.Sub(failed.Began))))
+	if ended {
+		l.module.ListLost(millis(failed.silentFor()))
+	} else {
+		l.module.ListFailed()
+	}
 }
 
 // endOutage logs and counts what went before a list, if discovery was not heard for a while.
-func (l *loop) endOutage(version int64) {
+func (l *loop) endOutage(version int64, took time.Duration) {
 	l.list.silent = false
+	defer func() { l.list.outage = outage{} }()
 	if l.list.outage.began.IsZero() {
-		return
+		return // the first list
 	}
 	now := time.Now()
 	l.counters.outageEnded(now.Sub(l.list.outage.began))
-	l.log.Info("the list is heard again", append(l.list.outage.fields(now), zap.Int64("version", version))...)
-	l.list.outage = outage{}
+	l.log.Info("the list is heard again", append(l.list.outage.fields(now), zap.Int64("version", version),
+		zap.String("addr", l.list.addr), zap.Float64("answered_in_ms", milliseconds(took)))...)
 }
 
 func (e moved) happen(l *loop) {
 	if l.list.move(e.discovery) {
 		l.list.outage.begin(time.Now())
-		l.Watch()
+		l.module.ListMoved()
 	}
 }
 
@@ -706,13 +725,12 @@
 func (l *loop) Wake(after logic.Millis, t logic.TimerID) { l.set(alarm{at: l.now + after, id: t}) }
 
 func (l *loop) Watch() {
-	if !l.list.live {
-		l.list.asked = l.now
-		l.list.outage.calls++
-		l.counters.listCalls.Add(1)
-		l.log.Debug("discovery is called", zap.String("addr", l.list.addr), zap.Int("call", l.list.current+1), zap.Int64("after", l.list.version))
+	if !l.list.call(l.ctx, l.postNews) {
+		return
 	}
-	l.list.watch(l.ctx, l.postNews)
+	l.list.outage.calls++
+	l.counters.listCalls.Add(1)
+	l.log.Debug("discovery is called", zap.String("addr", l.list.addr), zap.Int("call", l.list.last), zap.Int64("after", l.list.version))
 }
 
 func (l *loop) Note(line string) { l.log.Info(line) }
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -152,7 +152,10 @@
 		s.terms.AskWithin = 10000
 	}
 	s.terms.AskWithin = min(s.terms.AskWithin, askMost)
-	s.terms.LongestWait = logic.Millis(waitLongest(s.silence)) / logic.Millis(time.Millisecond)
+	s.terms.LongestWait = millis(longestWait)
+	s.terms.Notified = logic.NotificationBounds{
+		Reached: millis(notifiedAfterReached), Moved: millis(notifiedAfterMoved), Ended: millis(notifiedAfterEnded),
+	}
 	if k := v.Get("known"); k != nil && k.Type() != fastjson.TypeNull {
 		// A list that can't be read is no reason not to start: the watch brings another.
 		known, err := decode(k)
@@ -217,7 +220,7 @@
 		if ln = past.door; past.known != nil {
 			s.known = past.known
 		}
-		s.terms.Knows = false
+		s.terms.Knows, s.terms.TakesOver = false, true
 	} else if ln, err = s.listen(ctx, s.Listen); err != nil {
 		if ctx.Err() != nil {
 			return nil // told to end while it waited for the address: nothing was taken yet
@@ -282,7 +285,7 @@
 		if fresh.Listen != s.Listen || fresh.lasting != s.lasting {
 			srv.log.Warn("another listen, limits or settings wait for a restart")
 		}
-		srv.loop.post(moved{fresh.Discovery})
+		srv.loop.postFirst(moved{fresh.Discovery}) // its time runs from the signal, whatever waits in the queue
 	}
 }
 
--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -125,7 +125,12 @@
 
 // A new process says yes once its own watch has told something, or has had its time.
 func TestSettled(t *testing.T) {
-	r := begin(t, known(newStandIn(t, say(fine, true))), withConsole(""))
+	d := newStandIn(t, silent)
+	r := begin(t, known(newStandIn(t, say(fine, true))), func(s *Start) {
+		withConsole("")(s)
+		s.Discovery = d.Addr().String()
+	})
+	<-d.seen // the first call is open
 	r.front.pair = &pair{front: r.front, heir: true, born: time.Now()}
 	assert.Eventually(t, func() bool { return r.loop.loaded.Load() && r.front.open.Load() }, 5*time.Second, time.Millisecond)
 	assert.False(t, r.front.serves())
--- /dev/null
+++ b/logic/discovery_test.go
@@ -0,0 +1,246 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// callFate is what becomes of a call to discovery: it brings a list, or fails, so many milliseconds after its start.
+type callFate struct {
+	name    string
+	lasts   Millis
+	answers bool
+}
+
+var (
+	refusedCall  = callFate{name: "refused", lasts: 2}
+	brokenOff    = callFate{name: "broken off inside the list", lasts: 600}
+	silentCall   = callFate{name: "silent", lasts: 4000}
+	answeredCall = callFate{name: "answered", lasts: 250, answers: true}
+)
+
+// listCaller plays discovery for one module: it keeps the module's alarms and the ends of calls in the order of their times.
+type listCaller struct {
+	Outgoing
+	b       *Balancer
+	now     Millis
+	events  map[Millis]func()
+	fates   []callFate // of the calls to come; after them all are answered
+	calls   []Millis
+	version int // of the calls whose ends still count: a new configuration makes others
+	heard   Millis
+}
+
+func newListCaller(t Terms) *listCaller {
+	c := &listCaller{Outgoing: nowhere{}, now: 1000, events: map[Millis]func(){}, heard: -1}
+	t.MustAsk, t.Notified = true, NotificationBounds{Reached: 6000, Moved: 4000, Ended: 2000}
+	t.LongestWait = 1200
+	c.b = New(t, c, c.now)
+	return c
+}
+
+func (c *listCaller) after(pause Millis, f func()) {
+	at := c.now + pause
+	for c.events[at] != nil {
+		at += 1e-6
+	}
+	c.events[at] = f
+}
+
+func (c *listCaller) Wake(after Millis, t TimerID) {
+	if t == 1 {
+		c.after(after, func() { c.b.Alarm(1) })
+	}
+}
+
+func (c *listCaller) Watch() {
+	fate, version := answeredCall, c.version
+	if len(c.fates) > 0 {
+		fate, c.fates = c.fates[0], c.fates[1:]
+	}
+	c.calls = append(c.calls, c.now)
+	c.after(fate.lasts, func() {
+		switch {
+		case version != c.version || c.heard >= 0:
+		case fate.answers:
+			c.heard = c.now
+			c.b.ListEnds(false)
+			c.b.ListHeard(fate.lasts)
+		default:
+			c.b.ListFailed()
+		}
+	})
+}
+
+// playUntil plays what happens before a time.
+func (c *listCaller) playUntil(end Millis) {
+	for {
+		next := end
+		for at := range c.events {
+			next = min(next, at)
+		}
+		c.now = next
+		c.b.At(c.now)
+		if next >= end {
+			return
+		}
+		f := c.events[next]
+		delete(c.events, next)
+		f()
+	}
+}
+
+// happens starts an event: from here on the next calls have these fates.
+func (c *listCaller) happens(fates []callFate) Millis {
+	c.fates, c.heard, c.calls = fates, -1, nil
+	return c.now
+}
+
+// Whatever the first three calls meet and however large the fleet, a whole list is heard before a change counts as notified:
+// 4 s after a new configuration, 6 s after discovery could be reached. Several bounds may be owed at once.
+func TestListsAreHeardBeforeTheyAreOwed(t *testing.T) {
+	kinds := []callFate{refusedCall, brokenOff, silentCall}
+	var orders [][]callFate
+	for n := range 27 {
+		orders = append(orders, []callFate{kinds[n%3], kinds[n/3%3], kinds[n/9]})
+	}
+	down := make([]callFate, 5000)
+	for n := range down {
+		down[n] = refusedCall
+	}
+	for _, fleet := range []int{1, 2, 6, 30, 350, 1024} {
+		for _, within := range []Millis{100, 1000, 10000, 60000} {
+			for n, order := range orders {
+				name := fmt.Sprintf("fleet of %d, asked within %v, %s, %s, %s", fleet, within, order[0].name, order[1].name, order[2].name)
+				started := func() *listCaller {
+					c := newListCaller(Terms{Seed: uint64(n), Fleet: fleet, AskWithin: within, Knows: n%2 == 0})
+					c.playUntil(20000)
+					assert.NotEqual(t, Millis(-1), c.heard, "at the start")
+					return c
+				}
+				hears := func(c *listCaller, event string, from, bound Millis) {
+					c.playUntil(from + 15000)
+					if assert.NotEqual(t, Millis(-1), c.heard, "%s, %s", event, name) {
+						assert.LessOrEqual(t, c.heard-from, bound, "%s, %s: calls at %v", event, name, c.calls)
+					}
+				}
+
+				c := started()
+				from := c.happens(order)
+				c.version++
+				c.b.ListMoved()
+				hears(c, "a new configuration", from, 4000)
+
+				c = started()
+				from = c.happens(order)
+				c.b.ListLost(0)
+				hears(c, "a watch that ended", from, 6000)
+
+				c = started()
+				from = c.happens(order)
+				c.b.ListLost(2500)
+				hears(c, "a watch that fell silent", from-2500, 6000)
+
+				c = started()
+				c.happens(down)
+				c.b.ListLost(0)
+				c.playUntil(c.now + 9000 + Millis(37*n))
+				from = c.happens(order)
+				hears(c, "discovery back after a while", from, 6000)
+
+				c = started()
+				c.happens(down)
+				c.b.ListLost(0)
+				c.playUntil(c.now + 9000 + Millis(37*n))
+				from = c.happens(order)
+				c.version++
+				c.b.ListMoved()
+				hears(c, "a new configuration while discovery is down", from, 4000)
+
+				c = started()
+				c.happens([]callFate{silentCall, silentCall, silentCall, silentCall})
+				for range 4 {
+					c.version++
+					c.b.ListMoved()
+					c.playUntil(c.now + 350)
+				}
+				from = c.happens(order[:2])
+				c.version++
+				c.b.ListMoved()
+				hears(c, "new configurations in a row", from, 4000)
+			}
+		}
+	}
+}
+
+// One call that fails leaves time for another before a watch's end counts: 2 s.
+func TestOneFailedCallBehindAWatch(t *testing.T) {
+	for _, fleet := range []int{1, 6, 30, 350} {
+		for seed := range uint64(20) {
+			for _, fate := range []callFate{refusedCall, brokenOff, silentCall} {
+				c := newListCaller(Terms{Seed: seed, Fleet: fleet, AskWithin: 10000})
+				c.playUntil(20000)
+				from := c.happens([]callFate{fate})
+				c.b.ListLost(0)
+				c.playUntil(from + 10000)
+				assert.LessOrEqual(t, c.heard-from, Millis(2300), "fleet of %d, %s: calls at %v", fleet, fate.name, c.calls)
+			}
+		}
+	}
+}
+
+// Discovery does the work of every call that is made, also of those given up: where it answers, each process makes one call, and
+// configurations in quick succession do not make a call each.
+func TestCallsAreSparing(t *testing.T) {
+	c := newListCaller(Terms{Fleet: 6, AskWithin: 10000})
+	c.playUntil(20000)
+	c.happens(nil)
+	c.b.ListLost(0)
+	c.playUntil(c.now + 5000)
+	assert.Len(t, c.calls, 1, "one call is enough")
+	c.happens(nil)
+	for range 12 {
+		c.heard = -1
+		c.version++
+		c.b.ListMoved()
+		c.playUntil(c.now + 200)
+	}
+	assert.LessOrEqual(t, len(c.calls), 1+2400/int(moveSpacing))
+	c.playUntil(c.now + 5000)
+	assert.NotEqual(t, Millis(-1), c.heard)
+	slow := callFate{lasts: 2400, answers: true}
+	c.happens([]callFate{slow, slow, slow, slow})
+	c.b.ListLost(0)
+	c.playUntil(c.now + 9000)
+	first := len(c.calls)
+	c.happens([]callFate{slow, slow, slow, slow})
+	c.b.ListLost(0)
+	c.playUntil(c.now + 9000)
+	assert.Less(t, len(c.calls), first, "a crowded discovery gets fewer calls")
+}
+
+// However long no call is answered, only a few are open at a time, and they go on.
+func TestOpenCallsAreBounded(t *testing.T) {
+	c := newListCaller(Terms{Fleet: 6, AskWithin: 10000})
+	c.playUntil(20000)
+	silent := make([]callFate, 100)
+	for n := range silent {
+		silent[n] = silentCall
+	}
+	from := c.happens(silent)
+	c.b.ListLost(0)
+	c.playUntil(from + 60000)
+	for n, at := range c.calls {
+		open := 0
+		for _, earlier := range c.calls[:n] {
+			if earlier+silentCall.lasts > at {
+				open++
+			}
+		}
+		assert.Less(t, open, openCallsMost)
+	}
+	assert.Greater(t, len(c.calls), 30)
+	assert.LessOrEqual(t, len(c.calls), 60)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,7 @@
 // Package logic holds every decision of lynxjunction. New starts an instance from its Terms; At sets the
 // clock before each event. The list comes as ListStarts (a whole list only), Listed for each entry, ListEnds,
-// or as ListFailed; what staff say as Out, Back; what other sidecars say as Told; what an endpoint says when
-// asked as Probed; an exchange as Arrive, then Began, Ended for each leg, Left, with Spent and Whole if it is
+// or as ListFailed, with ListHeard, ListLost and ListMoved for what becomes of its watch; what staff say as
+// Out, Back; what other sidecars say as Told; what an endpoint says when asked as Probed; an exchange as Arrive, then Began, Ended for each leg, Left, with Spent and Whole if it is
 // still coming; a due timer as Alarm. What is wanted goes through Outgoing. Unknown ids, late timers and late
 // outcomes are harmless.
 package logic
@@ -120,11 +120,7 @@
 	b.fade = math.Exp(-float64(b.beat / (longest * memoryShare)))
 	b.presume(t.ProbePrice)
 	b.Wake(b.beat, 0)
-	if b.mustAsk && t.Knows && b.fleet > roomLeast {
-		b.Wake(b.askFirst*Millis(b.chance()), 1) // most of a fleet may have been restarted with us
-	} else if b.mustAsk {
-		b.Watch()
-	}
+	b.startCalls(t)
 	return b
 }
 
@@ -212,17 +208,6 @@
 	return mix(e.mark, -2-int(b.me)) | 1
 }
 
-// ListFailed asks again, later each time but well inside the time after which silence counts as told.
-func (b *Balancer) ListFailed() {
-	if b.mustAsk {
-		b.Wake(b.askWait*Millis(0.5+b.chance()), 1)
-		if b.askWait < b.askMost && 2*b.askWait >= b.askMost {
-			b.Note("list service fails; working from the last list")
-		}
-		b.askWait = min(2*b.askWait, b.askMost)
-	}
-}
-
 // Arrive takes an exchange; from here on it is owed one final answer. One whose request is still coming
 // gets no copy, and no further leg once Spent.
 func (b *Balancer) Arrive(id ExchangeID, p ProductID, t TenantID, k KeyID, abandon Millis, cost float64,
--- a/logic/state.go
+++ b/logic/state.go
@@ -86,6 +86,8 @@
 	copies, cancels, mustAsk, byWork, pool, warmKeys                                                              bool
 	now, timeOff, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting, startOff, recall, warmFor Millis
 
+	calls discoveryCalls
+
 	// The list. banned: out by hand; back: when that ended, for it counts as started then.
 	endpoints, ready []*endpoint
 	known            map[EndpointID]*endpoint
@@ -270,7 +272,7 @@
 	case t == 0:
 		b.pulse()
 	case t == 1:
-		b.Watch()
+		b.callDue()
 	case t&15 == 2 && place < len(b.places):
 		x := b.places[place]
 		if x.next != nil && x.turn == uint32(t>>8) {
--- a/logic/types.go
+++ b/logic/types.go
@@ -104,6 +104,8 @@
 	Knows                   bool   // an old list follows at once
 	AskWithin               Millis
 	LongestWait             Millis // between a call for the list that failed and the next; 0 where nothing bounds it
+	Notified                NotificationBounds
+	TakesOver               bool // of another process, whose watch ends with it
 	Cold, Fall              Millis
 	ColdFrom, FallMultiple  float64
 	CrossPrice              float64
