New configurations in a series share a call; calls for fear of a fault must not crowd out others

A series now waits for its end (0.7 s of quiet, kept within the first one's 4 s), the least pause is 250 ms. The trial's process listens on an address of its own and its log is kept: one play under -race never came up; that its port was taken is being looked at.

--- a/cmd/lynxjunction/drain_after_faults_test.go
+++ b/cmd/lynxjunction/drain_after_faults_test.go
@@ -161,8 +161,19 @@
 	began       time.Time
 }
 
+// trials numbers them, so that each process listens on an address of its own: a free port of a common address may be taken by
+// another trial's connections before the process listens.
+var trials atomic.Int32
+
+func ownAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.49.%d:0", trials.Add(1)))
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 func newDrainTrial(t *testing.T, fleet int) *drainTrial {
-	d := &drainTrial{world: &world{T: t, listen: freePort(t)}, began: time.Now()}
+	d := &drainTrial{world: &world{T: t, listen: ownAddress(t)}, began: time.Now()}
 	for n := range d.endpoints {
 		d.endpoints[n] = d.serve(func(rw http.ResponseWriter, _ *http.Request) {
 			if n == 0 {
@@ -180,10 +191,17 @@
 	d.configure(fleet, d.addrs[0])
 	d.process = exec.Command(os.Args[0])
 	d.process.Env = append(os.Environ(), "LYNXJUNCTION_TEST_SERVE=1", "RELAY_CONFIG="+d.config)
+	log, err := os.Create(d.config + ".log")
+	require.NoError(t, err)
+	d.process.Stderr = log
 	require.NoError(t, d.process.Start())
 	t.Cleanup(func() {
 		d.process.Process.Kill()
 		d.process.Wait()
+		if text, _ := os.ReadFile(log.Name()); t.Failed() {
+			t.Logf("its log: %s", text)
+		}
+		log.Close()
 	})
 	d.awaitVersion(1)
 	d.load()
--- a/logic/discovery.go
+++ b/logic/discovery.go
@@ -20,18 +20,23 @@
 	callSpacingLeast Millis = 800
 	// callLatencyShare is the part of callSpacing, in times of the last call that was answered.
 	callLatencyShare = 1.5
-	// moveSpacing is the least time in milliseconds between calls that new configurations ask for. In quick succession each of
-	// them would cost discovery a call whose answer is of no use a moment later.
-	moveSpacing Millis = 800
+	// A new configuration that comes less than moveSeries milliseconds after another one is part of a series: its discovery is
+	// called after moveQuiet milliseconds with no further one. Each of a series would cost discovery calls whose answers are of no
+	// use a moment later, and crowd out those that count.
+	moveSeries Millis = 1500
+	moveQuiet  Millis = 700
+	// Of the time that the first of a series leaves, so many milliseconds are kept for calls: then they are made moveQuiet apart.
+	moveKept Millis = 2500
 	// openCallsMost bounds the calls that are open at once.
 	openCallsMost = 4
 	// retriesBeforeOwed is how many calls that fail at once have to fit before the deadline.
 	retriesBeforeOwed = 4
 	// leastRetry is the least pause in milliseconds behind a call that failed.
-	leastRetry Millis = 100
+	leastRetry Millis = 250
 	// Watches of a fleet that end together are opened anew over so many milliseconds: up to the first figure for a few
 	// processes, up to both together for many.
 	reopenSpread, reopenSpreadFleet = 100.0, 700.0
+	reopenShare                     = 1.0 / 8 // and that at most of the time that is left
 )
 
 // NotificationBounds are the spans after which a change of the list counts as notified, in milliseconds of real time. Where
@@ -58,7 +63,8 @@
 	watching bool              // a watch of the discovery in force has told a list and has not ended
 	owed     [deadlines]Millis // when a change that was missed counts as notified; zero for never
 	due      Millis            // of the next call; infinite for none
-	moved    Millis            // when a new configuration last made a call, or will
+	moved    Millis            // when the last new configuration came
+	called   Millis            // when the last call was made
 	open     int               // calls to the discovery in force that may yet be answered
 	latency  Millis            // of the last call that was answered
 }
@@ -85,6 +91,7 @@
 
 // call starts a call now and sets the time of the next, should this one stay without an answer.
 func (b *Balancer) call() {
+	b.calls.called = b.now
 	b.Watch()
 	if b.calls.bounds.Reached > 0 {
 		b.calls.open++
@@ -172,7 +179,7 @@
 	b.owe(owedReached, b.now-silentFor+b.calls.bounds.Reached)
 	b.owe(owedEnded, b.now+b.calls.bounds.Ended)
 	b.askWait = b.askFirst
-	spread := min(Millis(reopenSpread+reopenSpreadFleet*(1-b.roomLeast)), b.askFirst)
+	spread := min(Millis(reopenSpread+reopenSpreadFleet*(1-b.roomLeast)), b.askFirst, b.left(owedReached)*reopenShare)
 	b.callAfter(spread * Millis(b.chance()))
 }
 
@@ -184,14 +191,15 @@
 	b.calls.watching, b.calls.open = false, 0
 	b.owe(owedMoved, b.now+b.calls.bounds.Moved)
 	b.askWait = b.askFirst
-	if b.calls.moved > b.now {
-		return // the call to come goes to whichever is in force then
-	}
-	if pause := b.calls.moved + moveSpacing - b.now; pause > 0 {
-		b.calls.moved = b.now + pause
-		b.callAfter(pause)
+	series := b.now-b.calls.moved < moveSeries
+	b.calls.moved = b.now
+	if !series {
+		b.call()
 		return
 	}
-	b.calls.moved = b.now
-	b.call()
+	pause := moveQuiet
+	if b.left(owedMoved) < moveKept {
+		pause = max(b.calls.called+moveQuiet-b.now, 0)
+	}
+	b.callAfter(pause)
 }
--- a/logic/discovery_test.go
+++ b/logic/discovery_test.go
@@ -175,6 +175,28 @@
 	}
 }
 
+// New configurations that go on coming don't put off the call for ever, nor does each of them make one.
+func TestEndlessNewConfigurations(t *testing.T) {
+	c := newListCaller(Terms{Fleet: 6, AskWithin: 10000})
+	c.playUntil(20000)
+	from := c.happens(nil)
+	for range 200 {
+		c.version++ // no call lives long enough to be answered
+		c.b.ListMoved()
+		c.playUntil(c.now + 150)
+	}
+	last := from
+	for _, at := range c.calls {
+		assert.LessOrEqual(t, at-last, Millis(2400), "calls at %v", c.calls)
+		last = at
+	}
+	assert.LessOrEqual(t, len(c.calls), 30000/int(moveQuiet)+1)
+	assert.GreaterOrEqual(t, len(c.calls), 12)
+	last = c.now
+	c.playUntil(c.now + 4000)
+	assert.GreaterOrEqual(t, c.heard, last)
+}
+
 // One call that fails leaves time for another before a watch's end counts: 2 s.
 func TestOneFailedCallBehindAWatch(t *testing.T) {
 	for _, fleet := range []int{1, 6, 30, 350} {
@@ -207,7 +229,7 @@
 		c.b.ListMoved()
 		c.playUntil(c.now + 200)
 	}
-	assert.LessOrEqual(t, len(c.calls), 1+2400/int(moveSpacing))
+	assert.LessOrEqual(t, len(c.calls), 3, "a series of 2.4 s makes few calls")
 	c.playUntil(c.now + 5000)
 	assert.NotEqual(t, Millis(-1), c.heard)
 	slow := callFate{lasts: 2400, answers: true}
