--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -401,6 +401,65 @@
 	}
 }
 
+// A sidecar had been told of a drain; its next watch, of a replica that lags or of the discovery that a new configuration names,
+// begins with a whole list from before. A drain that was told stands: only a list that is not older, or a later start, ends it.
+func TestDrainsStandAgainstOlderWholeLists(t *testing.T) {
+	const at = "127.0.0.1:1"
+	entryOf := func(state string, started int) string {
+		return fmt.Sprintf(`{"id":"a","addr":%q,"zone":"a","cell":1,"state":%q,"weight":1.0,"started_ms":%d}`, at, state, started)
+	}
+	for _, c := range []struct {
+		name  string
+		moves bool
+		first string // what the first watch tells of a, at version 5; the next one follows
+		next  string
+		takes bool
+	}{
+		{"older, same discovery", false, entryOf("terminating", 0), listText(4, true, entryOf("in_service", 0)), false},
+		{"older, another discovery", true, entryOf("terminating", 0), listText(4, true, entryOf("in_service", 0)), false},
+		{"older, gone before", true, entryOf("terminated", 0), listText(4, true, entryOf("in_service", 0)), false},
+		{"older, but started since", false, entryOf("terminating", 1000), listText(4, true, entryOf("in_service", 2000)), true},
+		{"the same version", true, entryOf("terminating", 0), listText(5, true, entryOf("in_service", 0)), true},
+		{"newer", false, entryOf("terminating", 0), listText(6, true, entryOf("in_service", 0)), true},
+		{"older, never drained", true, entryOf("in_service", 0), listText(4, true, entryOf("in_service", 0)), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			ends := make(chan bool)
+			first := newStandIn(t, func(conn net.Conn, q *http.Request) bool {
+				if q.URL.Query().Get("after") != "" {
+					conn.Write([]byte(watchHead + chunk(c.next)))
+					return silent(conn, q)
+				}
+				conn.Write([]byte(watchHead + chunk(listText(5, true, c.first))))
+				<-ends
+				return hangUp(conn, nil)
+			})
+			second := newStandIn(t, func(conn net.Conn, q *http.Request) bool {
+				conn.Write([]byte(watchHead + chunk(c.next)))
+				return silent(conn, q)
+			})
+			r := begin(t, "null", func(s *Start) { s.Discovery = first.Addr().String() })
+			within(t, "the first list", func() bool { return r.front.counters.lists.Load() == 1 })
+			if c.moves {
+				r.loop.post(moved{second.Addr().String()})
+			} else {
+				close(ends)
+			}
+			within(t, "the next list", func() bool { return r.front.counters.lists.Load() == 2 })
+			takes := make(chan bool)
+			r.loop.post(probe(func(l *loop) {
+				e := l.up.find("a")
+				takes <- e != nil && e.takes(at)
+			}))
+			assert.Equal(t, c.takes, <-takes)
+			if c.moves {
+				close(ends)
+			}
+		})
+	}
+}
+
 // A service that starts its count again answers a watch from version 5 with changes of its own: all it has is asked for.
 func TestVersionsFromZeroAgain(t *testing.T) {
 	s := newStandIn(t, say(fine, true))
