A drain that was told stands against older whole lists for a minute

Cause: a list's age was judged within one watch only, so the first whole list of the next one, however old, put a draining endpoint back. Change: drains are booked with version and start beside the watches. A list that is not older, or a later start, ends one. Known limit: a service that counts anew within a minute and still has the same id with the same start in service is believed once it is named again.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -137,8 +137,20 @@
 	named   map[logic.EndpointID]bool // true: by the last whole list or since
 	addrs   map[logic.EndpointID]bool // had an address once
 	entries map[logic.EndpointID]entry
+	drained map[logic.EndpointID]drain
 }
 
+// drain is that an endpoint was told to drain or to be gone. It outlasts the watch that told it, for the next one may begin
+// with a list from before: of a replica that lags, or of another discovery.
+type drain struct {
+	version int64 // of the list that told it
+	started logic.Millis
+	at      time.Time
+}
+
+// drainKept is for how long a drain stands against older lists: far longer than an endpoint takes to end.
+const drainKept = time.Minute
+
 // openCall is a call to discovery that has told nothing yet.
 type openCall struct {
 	began time.Time
@@ -172,7 +184,7 @@
 func newLists(addr string, silence time.Duration, names *terms.Names) *lists {
 	return &lists{
 		addr: addr, version: noVersion, silence: silence, zones: names, calls: map[int]openCall{}, named: map[logic.EndpointID]bool{},
-		addrs: map[logic.EndpointID]bool{}, entries: map[logic.EndpointID]entry{},
+		addrs: map[logic.EndpointID]bool{}, entries: map[logic.EndpointID]entry{}, drained: map[logic.EndpointID]drain{},
 	}
 }
 
@@ -202,11 +214,12 @@
 	return d.addrs[id]
 }
 
-// missing drops what a whole list did not name.
-func (d *lists) missing() (gone []logic.EndpointID) {
+// missing drops what a whole list of this version did not name.
+func (d *lists) missing(version int64, now time.Time) (gone []logic.EndpointID) {
 	for id, named := range d.named {
 		if !named {
 			gone = append(gone, id)
+			d.drains(id, 0, version, now)
 			d.drop(id)
 		}
 	}
@@ -283,6 +296,32 @@
 	return true, true
 }
 
+// drains books an endpoint that is not in service by a list of this version. An older word of it takes nothing back.
+func (d *lists) drains(id logic.EndpointID, started logic.Millis, version int64, now time.Time) {
+	before := d.drained[id]
+	d.drained[id] = drain{
+		version: max(version, before.version), started: max(started, before.started, d.entries[id].started), at: now,
+	}
+}
+
+// stillDrains tells that a list from before an endpoint's drain calls it in service. A later start ends the drain.
+func (d *lists) stillDrains(e entry, version int64, now time.Time) bool {
+	mark, drained := d.drained[logic.EndpointID(e.id)]
+	switch {
+	case !drained || !e.running:
+		return false
+	case version < 0 || version >= mark.version || e.started > mark.started || now.Sub(mark.at) > drainKept:
+		delete(d.drained, logic.EndpointID(e.id))
+		return false
+	}
+	return true
+}
+
+// forgetDrains lets go of those that have stood for their time.
+func (d *lists) forgetDrains(now time.Time) {
+	maps.DeleteFunc(d.drained, func(_ logic.EndpointID, mark drain) bool { return now.Sub(mark.at) > drainKept })
+}
+
 // older tells that a list comes from before what this watch, or the one before it, has told already.
 func (d *lists) older(e listing) bool {
 	return !e.fromDisk && e.watch == d.current.number && e.version >= 0 && e.version < d.version
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -495,11 +495,18 @@
 		l.module.ListStarts()
 		l.list.forgetAll()
 	}
+	now := time.Now()
+	l.list.forgetDrains(now)
 	for _, s := range e.servers {
 		if older && s.running {
 			continue
 		}
 		id := logic.EndpointID(s.id)
+		if l.list.stillDrains(s, e.version, now) {
+			s.running = false
+		} else if !s.running {
+			l.list.drains(id, s.started, e.version, now)
+		}
 		health := logic.NotRunning
 		if s.running && l.list.known(id, s.addr) {
 			health = logic.Running
@@ -520,7 +527,7 @@
 		l.module.Listed(id, health, l.list.zones.Zone([]byte(s.zone)), l.list.zones.Kind([]byte(s.kind)), s.cell, s.weight, s.started)
 	}
 	if full {
-		for _, id := range l.list.missing() {
+		for _, id := range l.list.missing(e.version, now) {
 			out = append(out, string(id))
 			l.up.drop(id)
 		}
