--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -266,6 +267,34 @@
 	assert.Zero(t, c.listLost.Load())
 }
 
+// The file of a new configuration can't be read for a moment: out of descriptors, an I/O error, a rename under way. It is read
+// again, for the signal won't come twice. A file that can be read and is wrong is not.
+func TestReloadReadsAgainAfterSystemErrors(t *testing.T) {
+	s := newStandIn(t, say(fine, true))
+	d := newStandIn(t, func(c net.Conn, q *http.Request) bool {
+		c.Write([]byte(watchHead + chunk(listText(7, true, entryText("s1", s.Addr().String(), "in_service")))))
+		return silent(c, q)
+	})
+	for _, fault := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EIO, syscall.ENOENT, syscall.EINTR, syscall.ENOMEM, syscall.ESTALE} {
+		var start *Start
+		r := begin(t, known(s), func(s *Start) { start = s })
+		reads := atomic.Int64{}
+		again := make(chan os.Signal, 1)
+		ctx, end := context.WithCancel(context.Background())
+		go start.follow(ctx, r.front, again, func() (*Start, error) {
+			if reads.Add(1) <= 3 {
+				return nil, &os.PathError{Op: "open", Path: "start.json", Err: fault}
+			}
+			return &Start{Discovery: d.Addr().String(), Listen: start.Listen}, nil
+		})
+		again <- syscall.SIGHUP
+		within(t, fault.Error(), func() bool { return r.front.counters.listVersion.Load() == 7 })
+		assert.EqualValues(t, 4, reads.Load(), fault)
+		assert.EqualValues(t, 1, r.front.counters.reloads.Load(), fault)
+		end()
+	}
+}
+
 // probe looks at what belongs to the loop.
 type probe func(l *loop)
 
