--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -274,7 +274,7 @@
 			return
 		case <-again:
 		}
-		fresh, err := read()
+		fresh, err := readAgain(ctx, again, read)
 		if err != nil {
 			srv.counters.reloadFaults.Add(1)
 			srv.log.Error("the new configuration can't be used; the old one stays", zap.Error(err))
@@ -289,6 +289,33 @@
 	}
 }
 
+// reloadPatience is for how long a start file that can't be read is tried again, and reloadPause the time between two tries:
+// the change that it names counts as notified 4 s after the signal.
+const (
+	reloadPatience = time.Second
+	reloadPause    = 50 * time.Millisecond
+)
+
+// readAgain reads the start file. A system call that fails is tried again for a while, since the signal won't come twice; a file
+// that is read and wrong is not. Another signal in between begins the time anew.
+func readAgain(ctx context.Context, again <-chan os.Signal, read func() (*Start, error)) (*Start, error) {
+	until := time.Now().Add(reloadPatience)
+	for {
+		fresh, err := read()
+		var failed syscall.Errno
+		if !errors.As(err, &failed) || time.Now().After(until) {
+			return fresh, err
+		}
+		select {
+		case <-ctx.Done():
+			return fresh, err
+		case <-again:
+			until = time.Now().Add(reloadPatience)
+		case <-time.After(reloadPause):
+		}
+	}
+}
+
 // listen waits for an address that the process before this one has not let go of yet.
 func (s *Start) listen(ctx context.Context, addr string) (*net.TCPListener, error) {
 	how := net.ListenConfig{}
