lab soak: rehearsals with overlapping faults drawn from seeds; lists that are spoilt or move

Rig: faults list-spoil and move; a drain counts as notified 6 s after the list service had it and could be reached and 4 s after a move, heard or not; endpoints book the deadline that they are told, and a rule holds it to what the client has left (0.15 s). Sidecar: the deadline that an endpoint is told is read after the waits behind a standstill, not before them; found by reading, no test failed for it.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -34,6 +34,10 @@
 	defer stop()
 	if err := root().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "lab:", err)
+		var usage usageError
+		if errors.As(err, &usage) {
+			os.Exit(2)
+		}
 		os.Exit(1)
 	}
 }
@@ -86,7 +90,7 @@
 		Use: "report DIR", Short: "Print the tables of a report", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error { return printReport(c.OutOrStdout(), args[0]) },
 	}
-	all.AddCommand(run, demo, config, show, compareCommand())
+	all.AddCommand(run, demo, config, show, compareCommand(), soakCommand())
 	return all
 }
 
--- a/cmd/lab/main_test.go
+++ b/cmd/lab/main_test.go
@@ -84,3 +84,14 @@
 	assert.ErrorContains(t, err, "exit status 1")
 	assert.Equal(t, "lab: "+path+":2: fleeet: no such key\n", string(text))
 }
+
+func TestSoakFlags(t *testing.T) {
+	for _, args := range [][]string{{"soak", "--seeds", "0"}, {"soak", "--parallel", "0"}, {"soak", "--sead", "1"}, {"soak", "--seeds", "x"}} {
+		all := root()
+		all.SetArgs(args)
+		var usage usageError
+		err := all.Execute()
+		assert.ErrorAs(t, err, &usage, args)
+		assert.NotContains(t, err.Error(), "\n")
+	}
+}
--- /dev/null
+++ b/cmd/lab/soak.go
@@ -0,0 +1,139 @@
+// Soak: rehearsals drawn from seeds, one after the other, until one breaks a rule.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lynxjunction/lynxjunction/internal/soak"
+)
+
+// usageError is a command line that can't be; the command ends with 2.
+type usageError struct{ error }
+
+// soakFlags are what the flags of lab soak say.
+type soakFlags struct {
+	seeds, parallel int
+	from            uint64
+	large, json     bool
+	program, out    string
+}
+
+func soakCommand() *cobra.Command {
+	f := &soakFlags{}
+	c := &cobra.Command{
+		Use: "soak", Short: "Play rehearsals drawn from seeds, with overlapping faults; exit 1 if a rule is broken", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return f.run(c) },
+	}
+	c.Flags().IntVar(&f.seeds, "seeds", 50, "how many seeds are played")
+	c.Flags().Uint64Var(&f.from, "from", 1, "the first seed")
+	c.Flags().IntVar(&f.parallel, "parallel", 2, "how many are played at once")
+	c.Flags().BoolVar(&f.large, "large", false, "fleets of up to 100 sidecars")
+	c.Flags().BoolVar(&f.json, "json", false, "a JSON object for each seed")
+	c.Flags().StringVar(&f.program, "program", beside("lynxjunction"), "the program that is played with")
+	c.Flags().StringVar(&f.out, "out", "found", "folder for schedules, timelines and logs of what broke")
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	return c
+}
+
+// soakLine is what is printed of one seed.
+type soakLine struct {
+	Seed     uint64   `json:"seed"`
+	Asked    int      `json:"asked"`
+	Faults   int      `json:"faults"`
+	Broken   []string `json:"broken,omitempty"`
+	Error    string   `json:"error,omitempty"`
+	Schedule string   `json:"schedule,omitempty"`
+}
+
+func (l soakLine) print(w io.Writer, asJSON bool) {
+	if asJSON {
+		json.NewEncoder(w).Encode(l)
+		return
+	}
+	verdict := "all rules kept"
+	if len(l.Broken) > 0 {
+		verdict = "BROKEN: " + strings.Join(l.Broken, ", ")
+	}
+	if l.Error != "" {
+		verdict = "NOT PLAYED: " + l.Error
+	}
+	fmt.Fprintf(w, "seed %d: %d requests, %d faults, %s\n", l.Seed, l.Asked, l.Faults, verdict)
+	if l.Schedule != "" {
+		fmt.Fprintf(w, "  again: bin/lab run %s\n", l.Schedule)
+	}
+}
+
+func (f *soakFlags) run(c *cobra.Command) error {
+	if f.seeds < 1 {
+		return usageError{fmt.Errorf("--seeds: %d is below 1", f.seeds)}
+	}
+	if f.parallel < 1 {
+		return usageError{fmt.Errorf("--parallel: %d is below 1", f.parallel)}
+	}
+	say := progress(c.ErrOrStderr())
+	p := &soak.Player{Program: f.program, Large: f.large, Say: func(text string) { say(0, text) }}
+	seeds, failed := make(chan uint64), 0
+	var mu sync.Mutex
+	var players sync.WaitGroup
+	for range f.parallel {
+		players.Go(func() {
+			for seed := range seeds {
+				line := f.playOne(c.Context(), p, seed)
+				mu.Lock()
+				if line.print(c.OutOrStdout(), f.json); len(line.Broken) > 0 || line.Error != "" {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for n := range f.seeds {
+		if c.Context().Err() != nil {
+			break
+		}
+		seeds <- f.from + uint64(n)
+	}
+	close(seeds)
+	players.Wait()
+	if err := c.Context().Err(); err != nil {
+		return errors.New("ended before all seeds were played")
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d seeds failed", failed, f.seeds)
+	}
+	return nil
+}
+
+// playOne plays a seed; one that breaks a rule is reduced and kept.
+func (f *soakFlags) playOne(ctx context.Context, p *soak.Player, seed uint64) soakLine {
+	v := p.PlaySeed(ctx, seed)
+	if v.Failed() && v.Err == nil {
+		v = p.Reduce(ctx, v)
+	}
+	defer v.Close()
+	line := soakLine{Seed: seed, Asked: v.Asked, Broken: v.Rules()}
+	if v.Err != nil {
+		line.Error = strings.SplitN(v.Err.Error(), "\n", 2)[0]
+	}
+	if v.Scenario == nil {
+		return line
+	}
+	line.Faults = len(v.Scenario.Faults)
+	if v.Failed() {
+		dir := filepath.Join(f.out, fmt.Sprint("soak-", seed))
+		if err := v.Write(dir); err != nil {
+			line.Error = strings.TrimSpace(line.Error + " " + err.Error())
+		}
+		line.Schedule = filepath.Join(dir, "schedule.toml")
+	}
+	return line
+}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -51,9 +51,10 @@
 	Endpoint int
 	At       float64 // its first bytes
 	Ended    float64
-	Outcome  string // satisfied, errored, full, failed, left, cut
-	Fresh    bool   // the first one on its connection
-	Keyed    bool   // carried its mark unchanged
+	Outcome  string  // satisfied, errored, full, failed, left, cut
+	Fresh    bool    // the first one on its connection
+	Keyed    bool    // carried its mark unchanged
+	Deadline float64 // ms that it told its endpoint; 0 for none
 	Work     float64
 	exchange *Exchange
 }
@@ -218,6 +219,9 @@
 	defer b.mu.Unlock()
 	key := [2]int{sidecar, endpoint}
 	if list := b.drains[key]; len(list) > 0 && math.IsInf(list[len(list)-1].to, 1) {
+		if last := &list[len(list)-1]; at < last.from {
+			last.from, last.why = at, how
+		}
 		return
 	}
 	b.drains[key] = append(b.drains[key], span{at, math.Inf(1), how})
@@ -245,8 +249,12 @@
 const (
 	Lost, Twice, Drains, Cold, Budget = "no exchange lost", "no effect twice", "drains kept", "no cold endpoint pushed over", "budget of legs"
 	Deserted                          = "nothing sent on for a client that left"
+	Deadlines                         = "no deadline passed on beyond what the client has left"
 )
 
+// deadlineSlack is by how many ms a deadline that is passed on may lie beyond what the client has left.
+const deadlineSlack = 150
+
 // leftGrace is the time, in ms, in which a client's leaving must be known.
 const leftGrace = 100
 
@@ -265,6 +273,9 @@
 				break
 			}
 		}
+		if why := b.overstated(x); why != "" {
+			broken = append(broken, Broken{Deadlines, x.ID, why + "\n" + b.story(x)})
+		}
 		if why := b.twice(x); why != "" {
 			broken = append(broken, Broken{Twice, x.ID, why + "\n" + b.story(x)})
 		}
@@ -340,6 +351,18 @@
 	return ""
 }
 
+// overstated looks for an attempt that told its endpoint more time than its client had left. The client sends a request after it
+// was due, and only the sidecar knows when it came: the time counts from when its last byte was sent.
+func (b *Book) overstated(x *Exchange) string {
+	for _, l := range x.legs {
+		left := max(x.At, x.Sent) + b.Products[x.Product].Abandon - l.At
+		if x.Sent > 0 && l.Deadline > left+deadlineSlack+b.Slack(x.Sidecar, l.Endpoint, l.At) {
+			return fmt.Sprintf("an attempt at %.0f ms told its endpoint %.0f ms, where its client had %.0f left", l.At, l.Deadline, left)
+		}
+	}
+	return ""
+}
+
 // story is what happened to an exchange, in order.
 func (b *Book) story(x *Exchange) string {
 	lines := []string{fmt.Sprintf("%s to s%d (%s): due at %.0f, sent %.0f, ended %.0f ms, status %d %s",
--- a/internal/rig/block.go
+++ b/internal/rig/block.go
@@ -42,6 +42,7 @@
 	rowConsoleLink
 	rowList
 	rowListLink
+	rowListMoved // where a new configuration finds the list service
 	rowEndpoint
 	rowClass
 	rowsMost = 250
--- a/internal/rig/endpoint.go
+++ b/internal/rig/endpoint.go
@@ -8,6 +8,8 @@
 	"math"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -162,6 +164,7 @@
 	if x != nil {
 		l.Work = x.Work
 		l.Keyed = r.Header.Get("Idempotency-Key") == keyOf(id)
+		l.Deadline, _ = strconv.ParseFloat(strings.TrimSuffix(r.Header.Get("Request-Timeout"), "m"), 64)
 	}
 	conn, _ := r.Context().Value(connKey{}).(net.Conn)
 	e.mu.Lock()
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -44,6 +45,8 @@
 		r.lists.down(1)
 		r.sleep(ctx, f.Done()*1000)
 		r.lists.down(-1)
+	case f.What == "list-spoil":
+		r.lists.spoilNext(int(f.Size))
 	case f.What == "list-late":
 		r.lists.delay(n, time.Duration(f.Size*float64(time.Second)))
 		r.sleep(ctx, f.Done()*1000)
@@ -175,6 +178,14 @@
 		r.sleep(ctx, until)
 	case "reload":
 		p.Process.Signal(syscall.SIGHUP)
+	case "move":
+		r.lists.move(s)
+		if err := r.config(s, filepath.Join(r.Dir, fmt.Sprint("s", s), "start.json")); err != nil {
+			r.fail(err)
+			return
+		}
+		p.Process.Signal(syscall.SIGHUP)
+		r.lists.owe(s, notifiedAfterMoved, "a new configuration")
 	case "stop":
 		p.Process.Signal(syscall.SIGSTOP)
 		r.book.Excuse(s, r.now(), until+owed, "stopped")
--- a/internal/rig/list.go
+++ b/internal/rig/list.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -40,12 +41,23 @@
 	entries []listed
 	changed chan struct{}
 	off     int // faults that take it down
+	outages int // faults that have taken it down so far
 	late    map[int]time.Duration
 	conns   map[net.Conn]struct{}
+	moved   map[int]bool // sidecars whose configuration names the other address
+	spoilt  map[int]int  // calls of a sidecar that are still to be spoilt
 }
 
+// Spans after which a change counts as notified, whether or not it was heard: after discovery had it and could be reached, and
+// after a new configuration.
+const (
+	notifiedAfterReached = 6 * time.Second
+	notifiedAfterMoved   = 4 * time.Second
+)
+
 func (r *Rig) newLists() *lists {
-	l := &lists{rig: r, changed: make(chan struct{}), late: map[int]time.Duration{}, conns: map[net.Conn]struct{}{}}
+	l := &lists{rig: r, changed: make(chan struct{}), late: map[int]time.Duration{}, conns: map[net.Conn]struct{}{},
+		moved: map[int]bool{}, spoilt: map[int]int{}}
 	l.web = &http.Server{Handler: l, ErrorLog: r.webLog(), ConnState: func(c net.Conn, s http.ConnState) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -60,14 +72,84 @@
 }
 
 func (l *lists) open(sidecar int) error {
-	ln, err := net.Listen("tcp", l.rig.block.at(rowList, sidecar))
-	if err != nil {
-		return l.rig.plain(err)
+	for _, row := range []int{rowList, rowListMoved} {
+		ln, err := net.Listen("tcp", l.rig.block.at(row, sidecar))
+		if err != nil {
+			return l.rig.plain(err)
+		}
+		go l.web.Serve(ln)
 	}
-	go l.web.Serve(ln)
 	return nil
 }
 
+// move has a sidecar's next configuration name the other address.
+func (l *lists) move(sidecar int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.moved[sidecar] = !l.moved[sidecar]
+}
+
+func (l *lists) hasMoved(sidecar int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.moved[sidecar]
+}
+
+// spoilNext spoils the next calls of each sidecar.
+func (l *lists) spoilNext(calls int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for n := range l.rig.s.Fleet.Sidecars {
+		l.spoilt[n] += calls
+	}
+}
+
+// owe enters what is out of service by now as told to a sidecar after a while, if the service can be reached until then.
+func (l *lists) owe(sidecar int, after time.Duration, why string) {
+	l.mu.Lock()
+	outages, off := l.outages, l.off > 0
+	var out []int
+	for _, e := range l.entries {
+		if e.State != "in_service" {
+			out = append(out, e.number)
+		}
+	}
+	l.mu.Unlock()
+	if off || len(out) == 0 {
+		return // the end of the outage begins the time anew
+	}
+	from := l.rig.now()
+	at := from + float64(after.Milliseconds())
+	l.rig.later(after, func() {
+		l.mu.Lock()
+		reachable := l.outages == outages
+		l.mu.Unlock()
+		if !reachable || l.rig.listLinkFaulty(sidecar, from, at) || l.rig.sidecar(sidecar) == nil {
+			return
+		}
+		for _, number := range out {
+			l.rig.book.Told(sidecar, number, at, why)
+		}
+	})
+}
+
+func (l *lists) oweAll(after time.Duration, why string) {
+	for n := range l.rig.s.Fleet.Sidecars {
+		l.owe(n, after, why)
+	}
+}
+
+// listLinkFaulty tells whether a fault lay on a sidecar's link to the list service within a time.
+func (r *Rig) listLinkFaulty(sidecar int, from, to float64) bool {
+	for f := range r.s.Faults {
+		o := &r.s.Faults[f]
+		if who, _ := r.s.Chosen(f); o.Over == "list" && has(who, sidecar) && to >= o.At*1000 && from < o.Done()*1000+outageSlack {
+			return true
+		}
+	}
+	return false
+}
+
 // say enters a change, as late as the faults in force have it.
 func (l *lists) say(e listed) {
 	l.mu.Lock()
@@ -88,6 +170,9 @@
 		}
 		close(l.changed)
 		l.changed = make(chan struct{})
+		if e.State != "in_service" {
+			go l.oweAll(notifiedAfterReached, "discovery had it and could be reached")
+		}
 	}
 	if wait > 0 {
 		l.rig.later(wait, enter)
@@ -101,12 +186,47 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.off += by; l.off > 0 {
+		l.outages++
 		for c := range l.conns {
 			cut(c)
 		}
+	} else {
+		go l.oweAll(notifiedAfterReached, "discovery is back")
 	}
 }
 
+// spoil answers a call with a fault, if one is due.
+func (l *lists) spoil(sidecar int, w http.ResponseWriter, r *http.Request) bool {
+	l.mu.Lock()
+	due := l.spoilt[sidecar]
+	if due > 0 {
+		l.spoilt[sidecar]--
+	}
+	version := l.version
+	l.mu.Unlock()
+	if due == 0 {
+		return false
+	}
+	const kinds = 5
+	switch l.rig.s.SeedOf(fmt.Sprint("spoilt", sidecar, due, version)) % kinds {
+	case 0:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case 1:
+		panic(http.ErrAbortHandler)
+	case 2:
+		<-r.Context().Done()
+	case 3:
+		fmt.Fprintf(w, `{"version":%d,"full":true,"serv`, version)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	case 4:
+		fmt.Fprintf(w, `{"version":%d,"full":true,"serv`, version)
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	return true
+}
+
 // since is what a sidecar has not heard of yet; after below 0 is all.
 func (l *lists) since(sidecar, after int) (t telling, changed chan struct{}) {
 	l.mu.Lock()
@@ -132,6 +252,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if l.spoil(sidecar, w, r) {
+		return
+	}
 	after := -1
 	if n, err := strconv.Atoi(r.URL.Query().Get("after")); err == nil {
 		after = n
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -160,14 +160,19 @@
 	zone := r.s.Sidecars()[n].Zone
 	known, _ := r.lists.since(n, -1)
 	discovery := r.block.at(rowList, n)
-	if r.links.list[n] != nil {
+	if r.lists.hasMoved(n) {
+		discovery = r.block.at(rowListMoved, n)
+	} else if r.links.list[n] != nil {
 		discovery = r.links.list[n].Addr()
 	}
 	text, err := json.MarshalIndent(scenario.StartFile(r.s, n, zone, r.block.at(rowSidecar, n), discovery, known), "", " ")
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(path, text, 0o600)
+	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path) // a process may read it just now
 }
 
 // call asks a console something by hand, again as long as it is told to, and returns when it said yes.
@@ -193,7 +198,7 @@
 // sidecarAt finds whose list address was asked.
 func (r *Rig) sidecarAt(host, at string) int {
 	for n := range r.s.Fleet.Sidecars {
-		if r.block.at(rowList, n) == net.JoinHostPort(host, at) {
+		if asked := net.JoinHostPort(host, at); r.block.at(rowList, n) == asked || r.block.at(rowListMoved, n) == asked {
 			return n
 		}
 	}
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -156,6 +156,9 @@
 	s.terms.Notified = logic.NotificationBounds{
 		Reached: millis(notifiedAfterReached), Moved: millis(notifiedAfterMoved), Ended: millis(notifiedAfterEnded),
 	}
+	if seeded == "calls" {
+		s.terms.Notified = logic.NotificationBounds{}
+	}
 	if k := v.Get("known"); k != nil && k.Type() != fastjson.TypeNull {
 		// A list that can't be read is no reason not to start: the watch brings another.
 		known, err := decode(k)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -462,6 +462,15 @@
 	return k, nil
 }
 
+// timeLeft is the deadline that an endpoint is told, in milliseconds.
+func timeLeft(g *leg) float64 {
+	left := max(float64(time.Until(g.giveUp))/float64(time.Millisecond), 0)
+	if seeded == "deadline" {
+		left += 1000
+	}
+	return left
+}
+
 // run carries one leg from its first byte to its end. Its request leaves at most once.
 func (u *upstream) run(g *leg) (r *reply, fault *legError) {
 	k, fault := u.connect(g)
@@ -476,9 +485,6 @@
 	}()
 	k.conn.SetDeadline(g.giveUp)
 	stop := context.AfterFunc(g.ctx, func() { k.conn.SetDeadline(time.Unix(1, 0)) })
-	left := append(make([]byte, 0, 48), "Request-Timeout: "...)
-	left = strconv.AppendFloat(left, max(float64(time.Until(g.giveUp))/float64(time.Millisecond), 0), 'f', 3, 64)
-	text := net.Buffers{g.request.head, append(left, "m\r\n\r\n"...), g.request.body}
 	// A drain may have been told while the process stood still: whoever reads it comes first. Where standstills follow upon
 	// each other, as on a small share of a core, that has had its turn after some waits, and no leg would ever begin.
 	for n := 0; n < behindWaits && u.behind != nil && u.behind() && g.ctx.Err() == nil && time.Now().Before(g.giveUp); n++ {
@@ -488,6 +494,10 @@
 		reusable = stop() // keep looks whether its endpoint still takes it
 		return nil, fault
 	}
+	// What is left is read after all waits: what goes by from here to the write, the endpoint is told too much.
+	left := append(make([]byte, 0, 48), "Request-Timeout: "...)
+	left = strconv.AppendFloat(left, timeLeft(g), 'f', 3, 64)
+	text := net.Buffers{g.request.head, append(left, "m\r\n\r\n"...), g.request.body}
 	if g.request.rest != nil {
 		var keepOpen bool
 		r, keepOpen, fault = u.runLong(k, g, text[:2])
