No attempt begins for a request that is answered: it is concluded before the answer goes out

Ruled out: a slow machine before the answer (0 to 600 ms of wait, six plays, one request each). Cause: the loop handed over the answer first and voided the other attempts next; shown by a wait of 5 ms between the two, with which the test fails, and passes in the other order.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -766,8 +766,8 @@
 	default:
 		l.counters.forfeited.Add(1)
 	}
+	l.conclude(x) // before the answer is on its way: from then on no attempt may begin for it
 	x.answer <- a
-	l.conclude(x)
 }
 
 func (l *loop) conclude(x *exchange) {
