Derived state, a dead check and a second event queue go; comments within their width

Behaviour and assertions as they are. lists.silent is told by the outage's failed calls, watch.live by its number; stillDrains looked at an age that forgetDrains had looked at just before; the tests of logic share one queue of events; hundredth stands once.

--- a/cmd/lynxjunction/drain_after_faults_test.go
+++ b/cmd/lynxjunction/drain_after_faults_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -304,7 +305,7 @@
 			d.keepsDrain(d.reload(fleet, d.addrs[1]), notifiedAfterReload, d.discoveries[1])
 		}},
 		{"new configuration while the discovery before is down", func(d *drainTrial, fleet int, faults []string) {
-			d.discoveries[0].set(d.list(1, "in_service"), strings.Split(strings.Repeat("busy ", 100)+"busy", " ")...)
+			d.discoveries[0].set(d.list(1, "in_service"), slices.Repeat([]string{"busy"}, 101)...)
 			d.discoveries[0].endWatches()
 			time.Sleep(4 * time.Second)
 			d.discoveries[1].set(d.list(2, "terminating"), faults...)
@@ -327,7 +328,7 @@
 			d.keepsDrain(ended, notifiedAfterReturn, d.discoveries[0])
 		}},
 		{"discovery back after a while", func(d *drainTrial, _ int, faults []string) {
-			d.discoveries[0].set(d.list(1, "in_service"), strings.Split(strings.Repeat("busy ", 100)+"busy", " ")...)
+			d.discoveries[0].set(d.list(1, "in_service"), slices.Repeat([]string{"busy"}, 101)...)
 			d.discoveries[0].endWatches()
 			time.Sleep(7 * time.Second)
 			d.discoveries[0].set(d.list(2, "terminating"), faults...)
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -133,7 +133,6 @@
 	current watch            // the watch in force
 	before  watch            // of the discovery before, believed until the new one has told its list
 	outage  outage
-	silent  bool                      // a watch has ended, and no list came since
 	named   map[logic.EndpointID]bool // true: by the last whole list or since
 	addrs   map[logic.EndpointID]bool // had an address once
 	entries map[logic.EndpointID]entry
@@ -162,9 +161,11 @@
 type watch struct {
 	number int
 	stop   context.CancelFunc
-	live   bool // it has not ended
 }
 
+// live tells that it has not ended.
+func (w *watch) live() bool { return w.number != 0 }
+
 func (w *watch) end() {
 	if w.stop != nil {
 		w.stop()
@@ -237,7 +238,7 @@
 	// Nothing says that the new one counts on from the old one's versions: it is asked for the whole list.
 	d.addr, d.version = addr, noVersion
 	d.moves++
-	if d.current.live {
+	if d.current.live() {
 		d.before.end()
 		d.before, d.current = d.current, watch{}
 	}
@@ -284,7 +285,7 @@
 		return false, false
 	}
 	delete(d.calls, number)
-	told := watch{number: number, stop: c.stop, live: true}
+	told := watch{number: number, stop: c.stop}
 	if c.moves != d.moves {
 		d.before.end()
 		d.before = told
@@ -305,12 +306,12 @@
 }
 
 // stillDrains tells that a list from before an endpoint's drain calls it in service. A later start ends the drain.
-func (d *lists) stillDrains(e entry, version int64, now time.Time) bool {
+func (d *lists) stillDrains(e entry, version int64) bool {
 	mark, drained := d.drained[logic.EndpointID(e.id)]
 	switch {
 	case !drained || !e.running:
 		return false
-	case version < 0 || version >= mark.version || e.started > mark.started || now.Sub(mark.at) > drainKept:
+	case version < 0 || version >= mark.version || e.started > mark.started:
 		delete(d.drained, logic.EndpointID(e.id))
 		return false
 	}
@@ -344,7 +345,7 @@
 // call makes one more call to the discovery in force. A timer of the module that was set before a list was heard must not
 // make another.
 func (d *lists) call(ctx context.Context, post func(event)) bool {
-	if d.current.live {
+	if d.current.live() {
 		return false
 	}
 	d.last++
--- a/internal/sidecar/discovery_outage.go
+++ b/internal/sidecar/discovery_outage.go
@@ -112,9 +112,6 @@
 
 // fields tell of the outage that ends now.
 func (o *outage) fields(now time.Time) []zap.Field {
-	if o.began.IsZero() {
-		return nil
-	}
 	return []zap.Field{
 		zap.Float64("outage_ms", milliseconds(now.Sub(o.began))), zap.Int("calls", o.calls),
 		zap.Array("last_failed", outageCalls(o.failed)),
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -502,7 +502,7 @@
 			continue
 		}
 		id := logic.EndpointID(s.id)
-		if l.list.stillDrains(s, e.version, now) {
+		if l.list.stillDrains(s, e.version) {
 			s.running = false
 		} else if !s.running {
 			l.list.drains(id, s.started, e.version, now)
@@ -571,7 +571,7 @@
 	}
 	switch {
 	case ended:
-		l.list.current.live = false
+		l.list.current.end()
 	case open && call.moves == l.list.moves:
 		l.counters.listCallsFailed[failed.Stage].Add(1)
 	case e.watch == l.list.before.number:
@@ -581,14 +581,13 @@
 		return // no word of it counts any more
 	}
 	l.counters.listLost.Add(1)
-	l.list.outage.begin(now)
-	l.list.outage.fail(failed)
 	// While discovery has no answer for a whole fleet, one line tells it, not one for each call.
 	level := zap.InfoLevel
-	if l.list.silent {
+	if len(l.list.outage.failed) > 0 {
 		level = zap.DebugLevel
 	}
-	l.list.silent = true
+	l.list.outage.begin(now)
+	l.list.outage.fail(failed)
 	l.log.Log(level, "watch ended", zap.Error(e.cause), zap.Bool("had_told", ended), zap.Float64("lasted_ms", milliseconds(now.Sub(failed.Began))))
 	if ended {
 		l.module.ListLost(millis(failed.silentFor()))
@@ -599,7 +598,6 @@
 
 // endOutage logs and counts what went before a list, if discovery was not heard for a while.
 func (l *loop) endOutage(version int64, took time.Duration) {
-	l.list.silent = false
 	defer func() { l.list.outage = outage{} }()
 	if l.list.outage.began.IsZero() {
 		return // the first list
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -15,15 +15,15 @@
 
 // Sizes of a drawn rehearsal.
 const (
-	lengthSeconds    = 16.0
-	fewestSidecars   = 3
-	mostSidecars     = 12
-	mostSidecarsOfAn = 100 // with large fleets
-	fewestEndpoints  = 5
-	mostEndpoints    = 12
-	requestsASecond  = 150.0 // of the whole fleet
-	workMs           = 8.0
-	lastFaultSeconds = 11.0 // later ones would have no time to show
+	lengthSeconds     = 16.0
+	fewestSidecars    = 3
+	mostSidecars      = 12
+	mostSidecarsLarge = 100 // with large fleets
+	fewestEndpoints   = 5
+	mostEndpoints     = 12
+	requestsASecond   = 150.0 // of the whole fleet
+	workMs            = 8.0
+	lastFaultSeconds  = 11.0 // later ones would have no time to show
 )
 
 // Draw is the rehearsal of a seed.
@@ -57,9 +57,12 @@
 	drained, staying []int // endpoints: what drains does not crash, for then it would be listed in service again
 }
 
+// hundredth rounds what stands in the file.
+func hundredth(v float64) float64 { return math.Round(100*v) / 100 }
+
 // between draws from a range, to a hundredth.
 func (d *drawing) between(least, most float64) float64 {
-	return math.Round(100*(least+d.Float64()*(most-least))) / 100
+	return hundredth(least + d.Float64()*(most-least))
 }
 
 func (d *drawing) chance(p float64) bool { return d.Float64() < p }
@@ -67,7 +70,7 @@
 func (d *drawing) fleet(large bool) {
 	many := fewestSidecars + d.IntN(mostSidecars-fewestSidecars+1)
 	if large {
-		many = mostSidecars + d.IntN(mostSidecarsOfAn-mostSidecars+1)
+		many = mostSidecars + d.IntN(mostSidecarsLarge-mostSidecars+1)
 	}
 	d.s.Fleet = scenario.Fleet{Sidecars: many, Rate: requestsASecond / float64(many), Heavy: 0.2, HeavyTimes: 3, Zones: []string{"a"}, MaxLegs: 2 + d.IntN(3)}
 	if d.chance(0.5) {
@@ -104,7 +107,7 @@
 
 func (d *drawing) time(last float64) float64 { return d.between(0.5, last) }
 
-// someone draws sidecars or endpoints by their letter, no more than a share of them.
+// some draws sidecars or endpoints by their letter, no more than a share of them.
 func (d *drawing) some(letter string, of int, share float64) (names []string) {
 	for _, n := range d.Perm(of)[:max(1, int(float64(of)*share*d.Float64()))] {
 		names = append(names, fmt.Sprint(letter, n))
@@ -149,7 +152,7 @@
 	if d.chance(0.6) {
 		series := 1 + d.IntN(4)
 		for n := range series {
-			d.add(scenario.Fault{What: "move", At: math.Round(100*(at+float64(n)*d.between(0.15, 0.6))) / 100, Who: []string{"s*"}, Step: 0.05})
+			d.add(scenario.Fault{What: "move", At: hundredth(at + float64(n)*d.between(0.15, 0.6)), Who: []string{"s*"}, Step: 0.05})
 		}
 	}
 	if d.chance(0.2) {
@@ -160,7 +163,7 @@
 		if d.chance(0.5) {
 			what = "replace"
 		}
-		d.add(scenario.Fault{What: what, At: math.Round(100*min(at+d.between(-0.5, 1.5), lastFaultSeconds)) / 100, Who: []string{fmt.Sprint("e", n)}})
+		d.add(scenario.Fault{What: what, At: hundredth(min(at+d.between(-0.5, 1.5), lastFaultSeconds)), Who: []string{fmt.Sprint("e", n)}})
 	}
 }
 
--- a/logic/discovery.go
+++ b/logic/discovery.go
@@ -2,9 +2,11 @@
 // ended, new configurations, and the spans after which a change counts as notified. It must never judge what a list says.
 //
 // All those spans are kept as deadlines in one place, and the nearest that is not over yet sets the pace: a change may be owed
-// under several at once, and the parts of a call (connect, first byte, rest of the line, pause, jitter) add up. Two limits pull against each other. A call that nobody answers
-// must not hold up the next one, so that further calls are made while it is open. But discovery works through its calls in turn
-// and does the work for those that were given up too: calls are made sparingly and an open one is not thrown away.
+// under several at once, and the parts of a call (connect, first byte, rest of the line, pause, jitter) add up.
+//
+// Two limits pull against each other. A call that nobody answers must not hold up the next one, so that further calls are made
+// while it is open. But discovery works through its calls in turn and does the work for those that were given up too: calls are
+// made sparingly and an open one is not thrown away.
 package logic
 
 import "math"
@@ -18,7 +20,7 @@
 	// than so many milliseconds.
 	callSpacingShare        = 1.0 / 3
 	callSpacingLeast Millis = 800
-	// callLatencyShare is the part of callSpacing, in times of the last call that was answered.
+	// callLatencyShare is the spacing in times of what the last answered call took, between callSpacing and callSpacingMost.
 	callLatencyShare = 1.5
 	// A new configuration that comes less than moveSeries milliseconds after another one is part of a series: its discovery is
 	// called after moveQuiet milliseconds with no further one. Each of a series would cost discovery calls whose answers are of no
--- a/logic/discovery_crowd_test.go
+++ b/logic/discovery_crowd_test.go
@@ -1,7 +1,6 @@
 package logic
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 
@@ -11,51 +10,14 @@
 // crowdedDiscovery answers calls in turn and does the work of those that were given up too. It refuses at once what would wait
 // for longer than its patience.
 type crowdedDiscovery struct {
-	now       Millis
+	eventQueue
 	free      Millis // when its queue is done
 	work      Millis // of a call
 	patience  Millis
-	events    crowdEvents
-	order     int
 	sidecars  []*crowdSidecar
 	faultWork bool // faulty answers cost their work too
 }
 
-type crowdEvent struct {
-	at    Millis
-	order int
-	f     func()
-}
-
-type crowdEvents []crowdEvent
-
-func (e crowdEvents) Len() int      { return len(e) }
-func (e crowdEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e crowdEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
-}
-func (e *crowdEvents) Push(x any) { *e = append(*e, x.(crowdEvent)) }
-func (e *crowdEvents) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
-}
-
-func (d *crowdedDiscovery) after(pause Millis, f func()) {
-	d.order++
-	heap.Push(&d.events, crowdEvent{d.now + max(pause, 0), d.order, f})
-}
-
-func (d *crowdedDiscovery) playUntil(end Millis) {
-	for len(d.events) > 0 && d.events[0].at < end {
-		e := heap.Pop(&d.events).(crowdEvent)
-		d.now = e.at
-		e.f()
-	}
-	d.now = end
-}
-
 // crowdSidecar is one of its callers.
 type crowdSidecar struct {
 	Outgoing
@@ -114,7 +76,7 @@
 }
 
 func newCrowd(fleet int, seed uint64) *crowdedDiscovery {
-	d := &crowdedDiscovery{now: 1000, work: Millis(1640 / float64(fleet)), patience: 3000}
+	d := &crowdedDiscovery{eventQueue: eventQueue{now: 1000}, work: Millis(1640 / float64(fleet)), patience: 3000}
 	for n := range fleet {
 		s := &crowdSidecar{Outgoing: nowhere{}, d: d, draw: rand.New(rand.NewPCG(seed, uint64(n)))}
 		s.b = New(Terms{Seed: seed<<10 + uint64(n), Fleet: fleet, MustAsk: true, AskWithin: 10000, LongestWait: 1200,
--- a/logic/discovery_test.go
+++ b/logic/discovery_test.go
@@ -21,12 +21,11 @@
 	answeredCall = callFate{name: "answered", lasts: 250, answers: true}
 )
 
-// listCaller plays discovery for one module: it keeps the module's alarms and the ends of calls in the order of their times.
+// listCaller plays discovery for one module.
 type listCaller struct {
 	Outgoing
+	eventQueue
 	b       *Balancer
-	now     Millis
-	events  map[Millis]func()
 	fates   []callFate // of the calls to come; after them all are answered
 	calls   []Millis
 	version int // of the calls whose ends still count: a new configuration makes others
@@ -34,24 +33,19 @@
 }
 
 func newListCaller(t Terms) *listCaller {
-	c := &listCaller{Outgoing: nowhere{}, now: 1000, events: map[Millis]func(){}, heard: -1}
+	c := &listCaller{Outgoing: nowhere{}, eventQueue: eventQueue{now: 1000}, heard: -1}
 	t.MustAsk, t.Notified = true, NotificationBounds{Reached: 6000, Moved: 4000, Ended: 2000}
 	t.LongestWait = 1200
 	c.b = New(t, c, c.now)
 	return c
 }
 
-func (c *listCaller) after(pause Millis, f func()) {
-	at := c.now + pause
-	for c.events[at] != nil {
-		at += 1e-6
-	}
-	c.events[at] = f
-}
-
 func (c *listCaller) Wake(after Millis, t TimerID) {
 	if t == 1 {
-		c.after(after, func() { c.b.Alarm(1) })
+		c.after(after, func() {
+			c.b.At(c.now)
+			c.b.Alarm(1)
+		})
 	}
 }
 
@@ -62,6 +56,7 @@
 	}
 	c.calls = append(c.calls, c.now)
 	c.after(fate.lasts, func() {
+		c.b.At(c.now)
 		switch {
 		case version != c.version || c.heard >= 0:
 		case fate.answers:
@@ -74,22 +69,9 @@
 	})
 }
 
-// playUntil plays what happens before a time.
 func (c *listCaller) playUntil(end Millis) {
-	for {
-		next := end
-		for at := range c.events {
-			next = min(next, at)
-		}
-		c.now = next
-		c.b.At(c.now)
-		if next >= end {
-			return
-		}
-		f := c.events[next]
-		delete(c.events, next)
-		f()
-	}
+	c.eventQueue.playUntil(end)
+	c.b.At(c.now)
 }
 
 // happens starts an event: from here on the next calls have these fates.
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"container/heap"
 	"fmt"
 	"strings"
 
@@ -101,3 +102,46 @@
 	b.Ended(x, 0, Satisfied, took, true)
 	return to
 }
+
+// eventQueue is virtual time: what happens later, in the order of its times.
+type eventQueue struct {
+	now    Millis
+	events laterEvents
+	order  int
+}
+
+type laterEvent struct {
+	at    Millis
+	order int
+	f     func()
+}
+
+type laterEvents []laterEvent
+
+func (e laterEvents) Len() int      { return len(e) }
+func (e laterEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e laterEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e *laterEvents) Push(x any) { *e = append(*e, x.(laterEvent)) }
+func (e *laterEvents) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+func (q *eventQueue) after(pause Millis, f func()) {
+	q.order++
+	heap.Push(&q.events, laterEvent{q.now + max(pause, 0), q.order, f})
+}
+
+// playUntil lets happen what is due before a time.
+func (q *eventQueue) playUntil(end Millis) {
+	for len(q.events) > 0 && q.events[0].at < end {
+		e := heap.Pop(&q.events).(laterEvent)
+		q.now = e.at
+		e.f()
+	}
+	q.now = end
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,9 +1,9 @@
 // Package logic holds every decision of lynxjunction. New starts an instance from its Terms; At sets the
 // clock before each event. The list comes as ListStarts (a whole list only), Listed for each entry, ListEnds,
 // or as ListFailed, with ListHeard, ListLost and ListMoved for what becomes of its watch; what staff say as
-// Out, Back; what other sidecars say as Told; what an endpoint says when asked as Probed; an exchange as Arrive, then Began, Ended for each leg, Left, with Spent and Whole if it is
-// still coming; a due timer as Alarm. What is wanted goes through Outgoing. Unknown ids, late timers and late
-// outcomes are harmless.
+// Out, Back; what other sidecars say as Told; what an endpoint says when asked as Probed; an exchange as Arrive,
+// then Began, Ended for each leg, Left, with Spent and Whole if it is still coming; a due timer as Alarm. What is
+// wanted goes through Outgoing. Unknown ids, late timers and late outcomes are harmless.
 package logic
 
 import (
