Descriptors of clients and endpoints are kept apart; silent clients give way by the queue

Symptom: idle connections that fill a sidecar's descriptors had it refuse nearly all requests, while cores and endpoints were sound. Ruled out: load, lists, hand-over (one fault alone shows it).

Change (descriptors.go, kernel.go): clients that hold over half of the descriptors give way to attempts at once; silences that are borne shrink with the listener's queue (TCP_INFO); who has a whole head waiting takes the place of the longest silent; bytes unread in the kernel keep a connection; the kernel holds back connections on which nothing came for a second (TCP_DEFER_ACCEPT); an attempt waits for a descriptor as for a connection, and then was not sent. The time that a request waited unread in the kernel, to be accepted too, counts against its deadline (tcpi_last_data_recv). Shutdown closes the listener by its own word, so that no accept error is logged at each end.

--- a/internal/rig/crowd_test.go
+++ b/internal/rig/crowd_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/pelletier/go-toml/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -37,3 +38,33 @@
 		})
 	}
 }
+
+// The same where each of a crowd writes half a head, or goes on with it byte by byte and never ends it; and where the sidecar is handed
+// over in the middle of it, so that two processes share its descriptors.
+func TestRequestsAreServedBesideOtherCrowds(t *testing.T) {
+	for name, change := range map[string]func(s *scenario.Scenario){
+		"half heads": func(s *scenario.Scenario) { s.Faults[0].What, s.Faults[0].Size = string(crowdHeads), 600 },
+		"drip":       func(s *scenario.Scenario) { s.Faults[0].What, s.Faults[0].Size = string(crowdDrip), 600 },
+		"hand-over": func(s *scenario.Scenario) {
+			s.Faults = append(s.Faults, scenario.Fault{What: "upgrade", At: 3, Who: []string{"s0"}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := scenario.Read("testdata/crowd.toml")
+			require.NoError(t, err)
+			change(s)
+			text, err := toml.Marshal(s)
+			require.NoError(t, err)
+			s, err = scenario.Parse(name, text)
+			require.NoError(t, err)
+			result, err := (&Rig{Program: program(t, ""), Dir: t.TempDir()}).Run(t.Context(), s)
+			require.NoError(t, err)
+			for _, b := range result.Broken {
+				t.Errorf("%s: %s", b.Rule, b.Story)
+			}
+			all := result.Book.Service(2000, 6000, -1)
+			t.Logf("%+v", all)
+			assert.GreaterOrEqual(t, float64(all.InTime), soundShare*float64(all.Asked))
+		})
+	}
+}
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -180,8 +180,8 @@
 	switch f.What {
 	case "leave": // done by the clients, which look at the scenario
 		r.sleep(ctx, until)
-	case "crowd":
-		r.crowd(ctx, s, int(f.Size), until)
+	case string(crowdMixed), string(crowdHeads), string(crowdDrip):
+		r.crowd(ctx, crowdKind(f.What), s, int(f.Size), until)
 	case "reload":
 		p.Process.Signal(syscall.SIGHUP)
 	case "move":
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -10,18 +10,13 @@
 	"net"
 	"os"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
 	idleTime   = 2 * time.Second        // no less is allowed; clients may hold a third of our descriptors, kept ones too
-	freshTime  = 100 * time.Millisecond // who said nothing for so long gives way first
-	slowTime   = 500 * time.Millisecond // who has not sent a whole request by then gives way last
 	aheadMost  = 16 << 10               // bytes read ahead behind a request in hand, for its client's leaving
 	leaveBeat  = 100 * time.Millisecond // between two looks for a client's leaving where no more is read ahead
 	turnedTime = 400 * time.Millisecond // for what is left of a request that is not taken
@@ -35,7 +30,7 @@
 const (
 	fresh   phase = iota // nothing was heard on it
 	reading              // part of a request
-	busy                 // its exchange is in hand
+	busy                 // a whole request, or its exchange is in hand
 	idle                 // between two requests
 	shed                 // closed to make room
 )
@@ -63,6 +58,8 @@
 	halted atomic.Bool   // net/http ends its watch
 	woken  chan struct{} // tells so
 	raw    syscall.RawConn
+	silent time.Duration // how long it had said nothing when it was accepted, where the listener defers those that don't
+	came   atomic.Int64  // when the last bytes that were read had come: nanoseconds since sockets began
 }
 
 func newClient(conn *net.TCPConn, s *sockets) *client {
@@ -73,6 +70,13 @@
 	return c
 }
 
+// refuseUnread answers a request that has not come whole before its connection gives way.
+func (c *client) refuseUnread() {
+	c.TCPConn.SetWriteDeadline(time.Now().Add(time.Millisecond))
+	c.TCPConn.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n" +
+		"Retry-After: " + comeBack + "\r\nContent-Length: 0\r\n\r\n"))
+}
+
 // Close ends the connection. With bytes unread the kernel would reset it, and what the client has not read of its answer
 // would be lost: they are read for a while first.
 func (c *client) Close() error {
@@ -93,58 +97,6 @@
 	return nil
 }
 
-// sight is what a look at a connection showed.
-type sight int
-
-const (
-	nothing sight = iota // it is open, and all that came was read
-	unread               // bytes wait in the kernel
-	ended                // its client closed its sending, or reset it; bytes may wait before that
-)
-
-// glance is the means of a look; they are kept, since the ordinary path must not allocate.
-type glance struct {
-	at   func(fd uintptr)
-	seen sight
-	byte [1]byte
-}
-
-var glances = sync.Pool{New: func() any {
-	g := &glance{}
-	g.at = g.look
-	return g
-}}
-
-const closeWait, closed = 8, 7 // of the kernel's states of a connection
-
-func (g *glance) look(fd uintptr) {
-	n, _, err := syscall.Recvfrom(int(fd), g.byte[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	switch g.seen = nothing; {
-	case err == syscall.EAGAIN || err == syscall.EINTR:
-	case err != nil || n <= 0:
-		g.seen = ended
-	default: // the end may stand behind what waits
-		g.seen = unread
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil &&
-			(info.State == closeWait || info.State == closed) {
-			g.seen = ended
-		}
-	}
-}
-
-// look asks the kernel, beside whoever reads.
-func (c *client) look() sight {
-	if c.raw == nil {
-		return nothing
-	}
-	g := glances.Get().(*glance)
-	defer glances.Put(g)
-	if c.raw.Control(g.at) != nil {
-		return ended
-	}
-	return g.seen
-}
-
 // become enters a phase, unless the connection has to give way.
 func (c *client) become(next phase) bool {
 	for {
@@ -162,8 +114,12 @@
 	}
 }
 
-// SetReadDeadline remembers until when the present request must have come. One beyond the limit has little time.
+// SetReadDeadline remembers until when the present request must have come. One beyond the limit has little time, and the time of one
+// that was silent before it was accepted began then.
 func (c *client) SetReadDeadline(t time.Time) error {
+	if c.silent > 0 && !t.IsZero() && phase(c.phase.Load()) == fresh {
+		t = t.Add(-c.silent)
+	}
 	if c.excess {
 		if most := time.Now().Add(turnedTime); t.IsZero() || t.After(most) {
 			t = most
@@ -192,7 +148,7 @@
 			if !c.last && int64(len(p)) > c.body {
 				p = p[:c.body]
 			}
-			n, err = c.TCPConn.Read(p)
+			n, err = c.receive(p)
 			c.body -= int64(n)
 			return n, err
 		}
@@ -208,6 +164,29 @@
 	return n, nil
 }
 
+// receive reads, and notes when what it read had come: it may have waited in the kernel, with its connection to be accepted or while
+// the process stood still, and its client's time has run on.
+func (c *client) receive(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.came.Store(int64(c.sockets.clock() - c.unreadFor()))
+	}
+	return n, err
+}
+
+// cameBy is when the last bytes that were read had come.
+func (c *client) cameBy() time.Time { return c.sockets.began.Add(time.Duration(c.came.Load())) }
+
+// earlier is the earlier of a time and of when the last bytes had come. c may be nil.
+func (c *client) earlier(t time.Time) time.Time {
+	if c != nil {
+		if came := c.cameBy(); came.Before(t) {
+			return came
+		}
+	}
+	return t
+}
+
 var (
 	errFraming = errors.New("lengths that are wrong, or that may hide another request")
 	errNoise   = errors.New("not a request")
@@ -231,7 +210,7 @@
 		if cap(c.buf)-len(c.buf) < headFirst/2 {
 			c.buf = append(make([]byte, 0, max(2*cap(c.buf), headFirst)), c.buf...)
 		}
-		n, err := c.TCPConn.Read(c.buf[len(c.buf):cap(c.buf)])
+		n, err := c.receive(c.buf[len(c.buf):cap(c.buf)])
 		c.buf = c.buf[:len(c.buf)+n]
 		if err != nil {
 			if !errors.Is(err, os.ErrDeadlineExceeded) { // which is net/http's way to end its watch
@@ -277,7 +256,7 @@
 			c.buf = append(make([]byte, 0, max(2*cap(c.buf), headFirst)), c.buf...)
 		}
 		was := len(c.buf)
-		n, err := c.TCPConn.Read(c.buf[was:cap(c.buf)])
+		n, err := c.receive(c.buf[was:cap(c.buf)])
 		c.buf = c.buf[:was+n]
 		late := errors.Is(err, os.ErrDeadlineExceeded)
 		switch {
@@ -310,17 +289,21 @@
 	if err != nil {
 		return c.refuse(err)
 	}
-	if !c.become(reading) { // what was read ahead was never looked at by who makes room
+	c.body = max(length, 0)
+	there := min(int64(len(c.buf)-end), c.body)
+	next := reading // what was read ahead was never looked at by who makes room
+	if c.body == there && !chunked {
+		next = busy // it came whole: its handler may have to wait for a core, and its connection is not silent meanwhile
+	}
+	if !c.become(next) {
 		return os.ErrClosed
 	}
 	c.taken = true
 	c.whole.Store(false) // it may stand from the request before
 	if c.last = chunked; chunked {
-		c.clear = len(c.buf)
+		c.clear, c.body = len(c.buf), 0
 		return nil
 	}
-	c.body = max(length, 0)
-	there := min(int64(len(c.buf)-end), c.body)
 	c.clear, c.body = end+int(there), c.body-there
 	return nil
 }
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -24,6 +24,7 @@
 	opened  time.Time
 	last    atomic.Int64 // when somebody last came, nanoseconds after that
 	accept  func() (*net.TCPConn, error)
+	defers  bool // the kernel holds back connections on which nothing has come
 	log     *zap.Logger
 }
 
@@ -35,6 +36,8 @@
 func newClientListener(ln *net.TCPListener, s *sockets, log *zap.Logger) *clientListener {
 	l := &clientListener{TCPListener: ln, sockets: s, opened: time.Now(), accept: ln.AcceptTCP, log: log}
 	l.changed.L = &l.mu
+	l.defers = deferAccept(ln)
+	s.queued = func() int { return acceptQueue(ln) }
 	return l
 }
 
@@ -82,7 +85,11 @@
 		switch {
 		case err == nil:
 			l.last.Store(int64(time.Since(l.opened)))
-			return newClient(conn, l.sockets), nil
+			c := newClient(conn, l.sockets)
+			if l.defers && c.look() == nothing {
+				c.silent = deferTime
+			}
+			return c, nil
 		case l.over():
 			return nil, err
 		case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -129,7 +129,7 @@
 			case state == http.StateIdle:
 				k.begun, k.taken, k.kept = false, false, true
 				k.become(idle)
-			case state == http.StateClosed && phase(k.phase.Load()) == reading && !k.begun:
+			case state == http.StateClosed && !k.begun && (phase(k.phase.Load()) == reading || phase(k.phase.Load()) == busy):
 				s.counters.badInput.Add(1)
 			}
 		},
@@ -385,8 +385,9 @@
 			}
 		}
 	}
-	// An answer that keeps to a time counted from the end of a standstill comes too late.
-	sent = sent.Add(-s.pace.behind(sent.Sub(s.loop.started)))
+	// An answer that keeps to a time counted from the end of a standstill, or of a wait to be accepted, comes too late.
+	k, _ := r.Context().Value(clientKey{}).(*client)
+	sent = k.earlier(sent.Add(-s.pace.behind(sent.Sub(s.loop.started))))
 	var slow net.Error
 	switch {
 	case errors.As(err, &slow) && slow.Timeout():
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -388,7 +388,7 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		s.finish(srv, web, ln)
+		s.finish(srv, web, listener)
 		return nil
 	}
 }
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -279,8 +279,9 @@
 		from.by = from.by.Add(time.Since(began)) // the endpoint let us wait, not the client
 	}
 	if err == io.EOF {
-		in.until = time.Now().Add(span(x.wait))
-		s.loop.post(bodyCame{x, s.loop.at(time.Now()) + x.wait})
+		whole := x.client.earlier(time.Now())
+		in.until = whole.Add(span(x.wait))
+		s.loop.post(bodyCame{x, s.loop.at(whole) + x.wait})
 		from.control.SetReadDeadline(time.Time{})
 		if x.client != nil {
 			x.client.whole.Store(true)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -75,8 +75,14 @@
 	return e
 }
 
+// errDescriptors is that all descriptors which this process may use are in use.
+var errDescriptors = errors.New("no descriptor left")
+
 // ownFault tells that a connection failed for want of something of this process or machine, which says nothing of the endpoint.
 func ownFault(cause error) bool {
+	if errors.Is(cause, errDescriptors) {
+		return true
+	}
 	var errno syscall.Errno
 	if !errors.As(cause, &errno) {
 		return false
@@ -451,10 +457,6 @@
 		u.counters.retired.Add(1)
 		u.close(k)
 	}
-	if !u.sockets.takeUpstream() {
-		return nil, failed(notDialled, errors.New("no descriptor left"), false)
-	}
-	u.counters.dialled.Add(1)
 	until := g.giveUp
 	if u.dialTime > 0 {
 		if d := time.Now().Add(u.dialTime); d.Before(until) {
@@ -466,6 +468,10 @@
 	if g.quit.Store(&done); g.moot.Load() {
 		done()
 	}
+	if !u.sockets.awaitUpstream(ctx) {
+		return nil, failed(notDialled, errDescriptors, g.ctx.Err() != nil || g.moot.Load())
+	}
+	u.counters.dialled.Add(1)
 	conn, err := u.dial(ctx, "tcp", g.addr)
 	if err != nil {
 		u.sockets.give()
