--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -215,16 +215,16 @@
 		leaving.Stop()
 		r.clients[s].stop()
 		r.again(ctx, s, 0)
+	case "upgrade-fails":
+		if err := r.upgradeFails(ctx, s, p, until); err != nil {
+			r.fail(err)
+		}
 	case "upgrade":
 		program := r.Other
 		if program == "" {
 			program = r.Program
 		}
-		row := rowConsole2
-		if p.console == r.block.at(rowConsole2, s) {
-			row = rowConsole
-		}
-		if err := r.upgrade(s, program, row); err != nil {
+		if err := r.upgrade(s, program, r.otherConsole(s, p)); err != nil {
 			r.fail(err)
 			return
 		}
@@ -253,6 +253,32 @@
 // upgrade starts a process beside the one that serves.
 func (r *Rig) upgrade(s int, program string, row int) error { return r.startSidecar(s, program, row) }
 
+// otherConsole is the row of the console that a sidecar's process does not have.
+func (r *Rig) otherConsole(s int, p *process) int {
+	if p.console == r.block.at(rowConsole2, s) {
+		return rowConsole
+	}
+	return rowConsole2
+}
+
+// upgradeFails starts a process beside the one that serves, and kills it after a while: the old one goes on.
+func (r *Rig) upgradeFails(ctx context.Context, s int, old *process, until float64) error {
+	dir := filepath.Join(r.Dir, fmt.Sprint("s", s))
+	next, err := r.run(r.Program, fmt.Sprint("s", s), filepath.Join(dir, "start.json"), dir, r.block.at(r.otherConsole(s, old), s))
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.all = append(r.all, next)
+	r.mu.Unlock()
+	r.sleep(ctx, until)
+	next.want = true
+	next.Process.Kill()
+	<-next.ended
+	r.book.Excuse(s, r.now(), r.now()+1, "one of its processes killed")
+	return nil
+}
+
 // onLink puts a fault on the links of one sidecar.
 func (r *Rig) onLink(ctx context.Context, n int, f *scenario.Fault, p scenario.Place, until float64) {
 	fault := links.Fault{Way: map[string]links.Way{"": links.Both, "there": links.There, "back": links.Back}[f.Way]}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -108,7 +108,7 @@
 	"slow": {'e', true, 1.01, 1000, "times slower"}, "hang": {'e', true, 0, 0, ""}, "errors": {'e', true, 0.001, 1, "share that fails"},
 	"crash": {'e', true, 0, 0, ""}, "drain": {'e', false, 0, 0, ""}, "replace": {'e', false, 0, 0, ""},
 	"kill": {'s', true, 0, 0, ""}, "restart": {'s', false, 0, 0, ""}, "stop": {'s', true, 0, 0, ""}, "reload": {'s', false, 0, 0, ""},
-	"upgrade": {'s', false, 0, 0, ""}, "leave": {'s', true, 1, 60000, "ms that clients wait at most"},
+	"upgrade": {'s', false, 0, 0, ""}, "upgrade-fails": {'s', true, 0, 0, ""}, "leave": {'s', true, 1, 60000, "ms that clients wait at most"},
 	"cut": {'l', true, 0, 0, ""}, "silent": {'l', true, 0, 0, ""}, "delay": {'l', true, 0.1, 60000, "ms one way"},
 	"jitter": {'l', true, 0.1, 60000, "ms at most"}, "limit": {'l', true, 1, 1e9, "bytes a second"}, "reset": {'l', false, 0, 0, ""},
 	"lose":     {'l', true, 0.001, 1, "share of answers"},
