Processes of a hand-over tell each other what they were told, in both directions

Cause: the line between the two processes carried counts and never a list, so that what the old one heard after the hand-over's start (versions 8 and 9 at 4.3 and 4.8 s) was unknown to the new one until its own watch told it. Ruled out: calls to discovery by the new process (refused and slow calls, an outage alone show it).

Whoever has no watch of its own believes one that has, whatever the versions; beside a watch only what takes an endpoint out or tells a later start is taken over at once. A sibling's word is no watch: a new process still waits for its own. A new process takes the name in the folder at once, so that a third one finds it and not the first; the one before offers again if it dies. Three processes share descriptors and memory.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -137,13 +137,16 @@
 	calls   map[int]openCall // that have told nothing yet, by number, to this discovery and to those before
 	last    int              // number of the last call
 	moves   int              // configurations that named another discovery
-	current watch            // the watch in force
-	before  watch            // of the discovery before, believed until the new one has told its list
-	outage  outage
-	named   map[logic.EndpointID]bool // true: by the last whole list or since
-	addrs   map[logic.EndpointID]bool // had an address once
-	entries map[logic.EndpointID]entry
-	drained map[logic.EndpointID]drain
+	// When the configuration in force was read, here or by a sibling, on the machine's monotonic clock, and when the last one that came
+	// while the process ran was; 0 for none. Siblings are told of the latter: what a process was started with is not news to the others.
+	configured, reloaded time.Duration
+	current              watch // the watch in force
+	before               watch // of the discovery before, believed until the new one has told its list
+	outage               outage
+	named                map[logic.EndpointID]bool // true: by the last whole list or since
+	addrs                map[logic.EndpointID]bool // had an address once
+	entries              map[logic.EndpointID]entry
+	drained              map[logic.EndpointID]drain
 }
 
 // drain is that an endpoint was told to drain or to be gone. It outlasts the watch that told it, for the next one may begin
@@ -300,6 +303,8 @@
 	switch {
 	case number == unasked:
 		return d.last == 0, false
+	case number == fromSibling:
+		return true, false
 	case number == d.current.number || number == d.before.number:
 		return true, false
 	case !open:
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -159,8 +159,10 @@
 		some   chan struct{}
 	}
 	news      chan struct{} // held by what discovery said and is not booked
-	published logic.Millis  // when the module's view was last left for others to read
-	probes    int           // that are out
+	changes   atomic.Uint64 // of what is known of endpoints and discovery
+	onChange  atomic.Pointer[func()]
+	published logic.Millis // when the module's view was last left for others to read
+	probes    int          // that are out
 	counters  *Counters
 	log       *zap.Logger
 	ctx       context.Context
@@ -541,7 +543,7 @@
 	}
 	if len(out) > 0 {
 		l.log.Info("endpoints drain or are gone", zap.Int("count", len(out)), zap.Strings("first", out[:min(len(out), loggedEndpoints)]),
-			zap.Int64("version", e.version), zap.Bool("whole_list", full))
+			zap.Int64("version", e.version), zap.Bool("whole_list", full), zap.Bool("from_sibling", e.watch == fromSibling))
 	}
 	l.up.share(len(l.list.named))
 	l.module.ListEnds(e.fromDisk)
@@ -552,9 +554,10 @@
 	l.counters.listVersion.Store(e.version)
 	l.counters.endpoints.Store(int64(len(l.list.named)))
 	l.loaded.Store(true)
-	if !e.fromDisk {
+	if !e.fromDisk && e.watch != fromSibling {
 		l.heard.Store(true)
 	}
+	l.changed()
 	if whole = true; older && first {
 		l.list.again()
 		l.module.ListLost(0)
@@ -622,6 +625,9 @@
 }
 
 func (e moved) happen(l *loop) {
+	l.list.reloaded = monotonic()
+	l.list.configured = l.list.reloaded
+	defer l.changed()
 	if l.list.move(e.discovery) {
 		l.list.outage.begin(time.Now())
 		l.list.outage.moved = true
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -57,10 +57,12 @@
 	lists                   pusher        // nil for none
 	placement               []string      // which products go where only, in words
 	lasting                 string        // limits and settings as written: they hold until a restart
+	readAt                  time.Duration // before the file was read, on the machine's monotonic clock
 }
 
 // Read decodes the file at path.
 func Read(path string) (*Start, error) {
+	readAt := monotonic()
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
@@ -69,6 +71,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	s.readAt = readAt
 	if addr := os.Getenv("RELAY_CONSOLE"); addr != "" {
 		s.Console = addr // of this start; the file may be older
 	}
@@ -243,6 +246,9 @@
 	}
 	if past != nil {
 		srv.loop.hands.Inherit(past.out, past.ever)
+		if past.told != nil {
+			srv.loop.postFirst(siblingTold{*past.told})
+		}
 	}
 	if s.Console != "" {
 		at, err := s.listen(ctx, s.Console)
@@ -255,11 +261,9 @@
 		go desk.serve(web, at)
 	}
 	if past != nil {
-		go func() {
-			srv.pair.join(life, past.line, past.read, false)
-			srv.pair.offered(life)
-		}()
-	} else if s.dir != "" {
+		go srv.pair.join(life, past.line, past.read, false)
+	}
+	if s.dir != "" {
 		srv.pair.offered(life)
 	}
 	go s.follow(life, srv, again, read)
@@ -268,6 +272,9 @@
 		heir = srv.pair
 	}
 	err = s.serve(ctx, srv, ln, heir)
+	if srv.pair != nil {
+		srv.pair.assure()
+	}
 	log.Info("ends", srv.counters.fields(srv.sockets)...)
 	return err
 }
@@ -351,8 +358,9 @@
 	books := newSockets(limit, counters)
 	books.set = s.Sockets - limit + fixedSockets
 	up := newUpstream(s.connect, s.idleClose, books, counters)
-	l := newLoop(ctx, s.terms, s.known, up, newLists(s.Discovery, s.silence, s.names),
-		hands.New(s.dir, log), counters, log)
+	list := newLists(s.Discovery, s.silence, s.names)
+	list.configured = s.readAt
+	l := newLoop(ctx, s.terms, s.known, up, list, hands.New(s.dir, log), counters, log)
 	l.grace = s.grace / 2
 	srv := &front{
 		loop: l, names: s.names, products: s.terms.Products, sockets: books, counters: counters, log: log,
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -1,6 +1,6 @@
-// Upgrade: two processes that are one sidecar for a while. This file owns the line between them: what the old one hands
-// over (its listening socket, list, bans), and what both say of themselves until one is gone. It must never stop a sidecar
-// that has no other process beside it, nor let one that doesn't answer keep the other from starting or ending.
+// Upgrade: two processes, or three where one upgrade follows another, that are one sidecar for a while. This file owns the lines between
+// them: what an old one hands over (its listening socket, list, bans), and what each says of itself until the other is gone. It must never
+// stop a sidecar that has no other process beside it, nor let one that doesn't answer keep the other from starting or ending.
 package sidecar
 
 import (
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -28,10 +29,14 @@
 	inheritTime = 1500 * time.Millisecond // for the old process to answer: the new one must serve within 6 s
 	tellBeat    = 50 * time.Millisecond
 	tellLast    = 20 * tellBeat // of silence, after which the other is taken for hung
+	tellRest    = 4             // times what telling took, before the next: long lists that change all the time must not take a core
 	lineMost    = listMost + hands.Most
 	clearWait   = 5400 * time.Millisecond // for the old process's transfers, before the yes that is due within 6 s
 	heardWait   = 5 * time.Second         // for the new process's own watch to tell something, before the same yes
 	namePath    = 100                     // bytes that a Unix socket's name may have
+
+	// heritageMost bounds the entries that a new process is handed in one line.
+	heritageMost = 8192
 )
 
 var errNoElder = errors.New("nobody to inherit from")
@@ -40,6 +45,7 @@
 type heritage struct {
 	door  *net.TCPListener
 	known *inventory
+	told  *knowledge // beside known, with what it was told of those that are gone
 	out   []string
 	ever  []string
 	line  *net.UnixConn
@@ -115,6 +121,10 @@
 		if known.full = true; len(known.servers) > 0 {
 			h.known = &known
 		}
+		var told knowledge
+		if whole, err := told.add(list); err == nil && whole {
+			h.told = &told
+		}
 	}
 	for _, id := range v.GetArray("out") {
 		h.out = append(h.out, string(id.GetStringBytes()))
@@ -159,31 +169,53 @@
 	}
 }
 
-// pair is this process and, during an upgrade, the other one.
+// peer is one other process of this sidecar, at the other end of a line.
+type peer struct {
+	line          *net.UnixConn
+	younger       bool
+	serves, takes atomic.Bool
+	held          atomic.Int64
+	wake          chan struct{} // there is news to tell
+	told          uint64        // the last change that was told
+	writes        sync.Mutex    // orders what is told
+}
+
+// pair is this process and, during an upgrade, the other ones.
 type pair struct {
 	dir    string
-	memory int64 // what both may have
+	memory int64 // what all may have
 	front  *front
 	door   *net.TCPListener
 	log    *zap.Logger
 
 	mu       sync.Mutex
-	other    *net.UnixConn
-	younger  bool // the other one is the new process
-	joined   bool // there was another
-	serves   atomic.Bool
-	moving   atomic.Int64 // the other's long transfers; below 0 while it has not said
+	elder    *peer // the process before this one; nil for none
+	younger  *peer // the new process; nil for none
+	offers   *net.UnixListener
+	joined   bool         // there was another
+	moving   atomic.Int64 // the elder's long transfers; below 0 while it has not said
 	together atomic.Bool
 	born     time.Time
 	heir     bool        // this process has inherited
 	waiting  atomic.Bool // and takes no clients yet
 }
 
-// succeeds tells whether a new process serves beside this one.
-func (p *pair) succeeds() bool {
+// peers are the other processes, and how many descriptors they hold.
+func (p *pair) peers() (elder, younger *peer, held int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.other != nil && p.younger && p.serves.Load()
+	for _, o := range []*peer{p.elder, p.younger} {
+		if o != nil {
+			held += int(o.held.Load())
+		}
+	}
+	return p.elder, p.younger, held
+}
+
+// succeeds tells whether a new process serves beside this one.
+func (p *pair) succeeds() bool {
+	_, younger, _ := p.peers()
+	return younger != nil && younger.serves.Load()
 }
 
 // settled tells whether what was inherited is confirmed by a watch of our own, or was waited for long enough.
@@ -194,7 +226,7 @@
 // clear tells whether the old process has no transfer under way that its end would cut off, or was waited for long enough.
 func (p *pair) clear() bool {
 	p.mu.Lock()
-	old := p.other != nil && !p.younger || p.heir && !p.joined
+	old := p.elder != nil || p.heir && !p.joined
 	p.mu.Unlock()
 	return !old || p.moving.Load() == 0 || time.Since(p.born) > clearWait
 }
@@ -227,89 +259,216 @@
 	p.yield(false)
 }
 
-// join speaks with the other process until its line ends.
+// place is where a peer of an age stands. The caller holds mu.
+func (p *pair) place(younger bool) **peer {
+	if younger {
+		return &p.younger
+	}
+	return &p.elder
+}
+
+// join speaks with another process until its line ends.
 func (p *pair) join(ctx context.Context, line *net.UnixConn, read *bufio.Reader, younger bool) {
+	other := &peer{line: line, younger: younger, wake: make(chan struct{}, 1)}
 	p.mu.Lock()
-	if p.other != nil {
-		p.other.Close() // the newest counts
+	place := p.place(younger)
+	if *place != nil {
+		(*place).line.Close() // the newest counts
 	}
-	p.other, p.younger, p.joined = line, younger, true
-	p.serves.Store(false)
-	p.moving.Store(-1)
+	*place, p.joined = other, true
 	p.mu.Unlock()
-	p.log.Info("two processes are this sidecar", zap.Bool("the_other_is_new", younger))
-	p.share(0)
+	if !younger {
+		p.moving.Store(-1)
+	}
+	p.log.Info("another process is this sidecar too", zap.Bool("the_other_is_new", younger))
+	p.share()
+	wake := p.wakeAll
+	p.front.loop.onChange.Store(&wake)
 	stop := context.AfterFunc(ctx, func() { line.Close() })
 	defer stop()
-	go p.tell(line)
+	go p.tell(other)
+	p.hear(other, read)
+	line.Close()
+	p.mu.Lock()
+	last := *place == other
+	if last {
+		*place = nil
+	}
+	alone := p.elder == nil && p.younger == nil
+	p.mu.Unlock()
+	switch {
+	case !last:
+		return
+	case alone:
+		p.alone()
+	case younger:
+		p.yield(false)
+		p.share()
+	default:
+		p.open()
+		p.share()
+	}
+	if younger && ctx.Err() == nil && p.front.until.Load() == nil {
+		p.offered(ctx) // it had taken the name by which a new process finds this one
+	}
+}
+
+// hear takes what another process says until its line ends.
+func (p *pair) hear(other *peer, read *bufio.Reader) {
+	var news knowledge
 	for {
-		line.SetReadDeadline(time.Now().Add(tellLast))
+		other.line.SetReadDeadline(time.Now().Add(tellLast))
 		text, err := readLine(read)
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			p.serves.Store(false) // it hangs, and holds what it holds
-			p.moving.Store(0)
-			p.open()
+		if errors.Is(err, os.ErrDeadlineExceeded) && len(text) == 0 {
+			p.hangs(other)
 			continue
 		}
 		if err != nil {
-			break
+			return
 		}
 		v, err := fastjson.ParseBytes(text)
 		if err != nil {
-			break
+			return
+		}
+		other.takes.Store(v.GetBool("takes"))
+		other.serves.Store(v.GetBool("serves") || v.GetBool("takes")) // the old one may end from then on
+		other.held.Store(v.GetInt64("held"))
+		if other.younger {
+			p.yield(other.takes.Load())
+		} else {
+			p.moving.Store(v.GetInt64("moving"))
+		}
+		p.share()
+		if part := v.Get("list"); part != nil {
+			whole, err := news.add(part)
+			if err != nil {
+				p.log.Warn("what another process of this sidecar tells can't be read", zap.Error(err))
+			} else if whole {
+				p.front.loop.postFirst(siblingTold{news})
+				news = knowledge{}
+			}
 		}
-		p.serves.Store(v.GetBool("serves") || v.GetBool("takes")) // the old one may end from then on
-		p.moving.Store(v.GetInt64("moving"))
-		p.yield(younger && v.GetBool("takes"))
-		p.share(v.GetInt("held"))
 	}
-	line.Close()
-	p.mu.Lock()
-	last := p.other == line
-	if last {
-		p.other = nil
+}
+
+// hangs is told of another process that says nothing, and holds what it holds.
+func (p *pair) hangs(other *peer) {
+	other.serves.Store(false)
+	other.takes.Store(false)
+	if other.younger {
+		p.yield(false)
+		return
 	}
-	p.mu.Unlock()
-	if last {
-		p.alone()
+	p.moving.Store(0)
+	p.open()
+}
+
+// wakeAll has the other processes told at once.
+func (p *pair) wakeAll() {
+	elder, younger, _ := p.peers()
+	for _, o := range []*peer{elder, younger} {
+		if o == nil {
+			continue
+		}
+		select {
+		case o.wake <- struct{}{}:
+		default:
+		}
 	}
 }
 
-// tell says what we hold until the line ends.
-func (p *pair) tell(line *net.UnixConn) {
+// tell says what we hold and know until the line ends.
+func (p *pair) tell(other *peer) {
 	beat := time.NewTicker(tellBeat)
 	defer beat.Stop()
-	for ; ; <-beat.C {
-		if p.say(line) != nil {
+	for {
+		began := time.Now()
+		if p.say(other) != nil {
 			return
 		}
+		time.Sleep(min(time.Since(began)*tellRest, tellLast/4))
+		select {
+		case <-beat.C:
+		case <-other.wake:
+		}
 	}
 }
 
-func (p *pair) say(line *net.UnixConn) error {
+// status is what we say of this process and of the one on its other side.
+func (p *pair) status(a *fastjson.Arena, to *peer) *fastjson.Value {
 	clients, upstream := p.front.sockets.held()
-	line.SetWriteDeadline(time.Now().Add(tellLast))
-	_, err := fmt.Fprintf(line, "{\"held\":%d,\"moving\":%d,\"takes\":%t,\"serves\":%t}\n", clients+upstream,
-		p.front.transfers.Load(), p.front.takes(), p.front.serves())
-	if err != nil {
-		line.Close()
+	elder, younger, held := p.peers()
+	held += clients + upstream - int(to.held.Load())
+	takes, serves, moving := p.front.takes(), p.front.serves(), p.front.transfers.Load()
+	if !to.younger && younger != nil {
+		takes, serves = takes || younger.takes.Load(), serves || younger.serves.Load()
 	}
-	return err
+	if to.younger && elder != nil {
+		moving += max(p.moving.Load(), 0)
+	}
+	v := a.NewObject()
+	v.Set("held", a.NewNumberInt(max(held, 0)))
+	v.Set("moving", a.NewNumberString(strconv.FormatInt(moving, 10)))
+	v.Set("takes", boolean(a, takes))
+	v.Set("serves", boolean(a, serves))
+	return v
+}
+
+// say tells another process our status, and all that we know if that has changed since we told it last.
+func (p *pair) say(other *peer) error {
+	other.writes.Lock()
+	defer other.writes.Unlock()
+	var a fastjson.Arena
+	var parts []*fastjson.Value
+	var told uint64
+	if p.front.loop.changes.Load() != other.told {
+		if k, err := p.front.loop.knowledge(tellLast / 4); err == nil {
+			parts, told = k.parts(&a), k.change
+		}
+	}
+	if len(parts) == 0 {
+		parts = []*fastjson.Value{nil}
+	}
+	for _, part := range parts {
+		v := p.status(&a, other)
+		if part != nil {
+			v.Set("list", part)
+		}
+		other.line.SetWriteDeadline(time.Now().Add(tellLast))
+		if _, err := other.line.Write(append(v.MarshalTo(nil), '\n')); err != nil {
+			other.line.Close()
+			return err
+		}
+	}
+	if told > 0 {
+		other.told = told
+	}
+	return nil
 }
 
-// assure tells the other process now what we are about to tell staff: SIGTERM may reach it before our next beat.
+// assure tells the other processes now what we are about to tell staff, and the last of what we know before our end: SIGTERM may reach
+// them before our next beat.
 func (p *pair) assure() {
-	p.mu.Lock()
-	line := p.other
-	p.mu.Unlock()
-	if line != nil {
-		p.say(line)
+	elder, younger, _ := p.peers()
+	for _, o := range []*peer{elder, younger} {
+		if o != nil {
+			p.say(o)
+		}
 	}
 }
 
-func (p *pair) share(held int) {
-	if !p.together.Swap(true) {
-		debug.SetMemoryLimit(p.memory * memoryPart / 2)
+// share leaves the other processes their part of memory and descriptors.
+func (p *pair) share() {
+	elder, younger, held := p.peers()
+	if elder == nil && younger == nil {
+		return
+	}
+	processes := int64(2)
+	if elder != nil && younger != nil {
+		processes = 3
+	}
+	if !p.together.Swap(true) || processes > 2 {
+		debug.SetMemoryLimit(p.memory * memoryPart / processes)
 	}
 	p.front.sockets.shareWith(held)
 }
@@ -336,6 +495,13 @@
 	}
 	ln.SetUnlinkOnClose(false)
 	context.AfterFunc(ctx, func() { ln.Close() })
+	p.mu.Lock()
+	before := p.offers
+	p.offers = ln
+	p.mu.Unlock()
+	if before != nil {
+		before.Close()
+	}
 	go func() {
 		for {
 			line, err := acceptUntilClosed(ln, p.front.counters, p.log)
@@ -384,12 +550,15 @@
 	out, ever := p.front.loop.hands.All()
 	v.Set("out", texts(out))
 	v.Set("ever", texts(ever))
-	list := make(chan inventory, 1)
-	p.front.loop.postFirst(asked(func(l *loop) { list <- l.list.inventory() }))
-	select {
-	case i := <-list:
-		v.Set("list", encode(&a, i))
-	case <-time.After(inheritTime / 3):
+	// A list that does not fit is told in parts, once the line is joined.
+	if k, err := p.front.loop.knowledge(inheritTime / 3); err == nil && len(k.servers) <= heritageMost {
+		list := encode(&a, k.inventory)
+		list.Set("first", a.NewTrue())
+		list.Set("drained", k.drainedList(&a))
+		list.Set("discovery", a.NewString(k.discovery))
+		list.Set("reloaded_ns", a.NewNumberString(strconv.FormatInt(int64(k.reloaded), 10)))
+		list.Set("following", boolean(&a, k.following))
+		v.Set("list", list)
 	}
 	return v.MarshalTo(nil)
 }
