Calls by hand reach the other process of a hand-over while the disk fails

Bans and calls back pass between the two processes by the file that both look at; while the folder gives ENOSPC or EIO the file can't carry them, and a ban that is owed after 1 s held in one process only. Each now tells the other the calls that the file lacks, ordered by the machine's monotonic clock; the later call wins, and a later word in the file ends an older one.

--- a/internal/hands/hands.go
+++ b/internal/hands/hands.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/lynxjunction/lynxjunction/internal/clock"
 )
 
 const (
@@ -61,6 +63,42 @@
 	out  bool
 	base uint64 // the file's word on the id when the call came
 	owed bool   // its caller still waits; otherwise a later word in the file ends it
+	at   time.Duration
+}
+
+// Wish is a call by hand that is in force and not in the file, as processes of one sidecar tell it each other: a disk that fails must not
+// keep it from one of them.
+type Wish struct {
+	ID   string
+	Out  bool
+	Base uint64        // the file's word on the id when the call came
+	At   time.Duration // when it came, on the machine's monotonic clock
+}
+
+// Wishes are the calls in force that the file lacks, by id.
+func (h *Hands) Wishes() (list []Wish) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(h.wishes)) {
+		w := h.wishes[id]
+		list = append(list, Wish{ID: id, Out: w.out, Base: w.base, At: w.at})
+	}
+	return list
+}
+
+// Hear puts in force what another process was told by hand, unless a later call is known here or stands in the file.
+func (h *Hands) Hear(list []Wish) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, w := range list {
+		mine, wished := h.wishes[w.ID]
+		if wished && mine.at >= w.At || h.kept.said[w.ID] > w.Base {
+			continue
+		}
+		h.know(w.ID)
+		h.wishes[w.ID] = wish{out: w.Out, base: w.Base, owed: wished && mine.owed && mine.out == w.Out, at: w.At}
+		h.set(w.ID, w.Out)
+	}
 }
 
 type call struct {
@@ -198,7 +236,7 @@
 
 // wish puts a call in force; the file follows.
 func (h *Hands) wish(id string, out, owed bool) {
-	h.wishes[id] = wish{out: out, base: h.kept.said[id], owed: owed}
+	h.wishes[id] = wish{out: out, base: h.kept.said[id], owed: owed, at: clock.Monotonic()}
 	h.set(id, out)
 }
 
--- a/internal/hands/hands_test.go
+++ b/internal/hands/hands_test.go
@@ -213,3 +213,34 @@
 	assert.Len(t, ever, everMost)
 	assert.NoError(t, h.Change(t.Context(), "old", false))
 }
+
+// While the disk fails, the file that two processes share can't carry what staff said: each tells the other its calls that are not kept.
+// The later call wins, whichever process heard it, and what the file says later than a call ends it.
+func TestCallsReachTheOtherProcessWhileTheDiskFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir, d := t.TempDir(), &disk{}
+		full := error(syscall.ENOSPC)
+		d.fault.Store(&full)
+		old, next := open(t, dir, d, "e1", "e2"), open(t, dir, d, "e1")
+		assert.ErrorIs(t, change(old, "e1", true), ErrNotKept)
+		assert.ErrorIs(t, change(old, "e2", true), ErrNotKept)
+		assert.Empty(t, next.Bans())
+		earlier := old.Wishes()
+		next.Hear(earlier)
+		assert.Equal(t, []string{"e1", "e2"}, next.Bans())
+		time.Sleep(time.Millisecond)
+		assert.ErrorIs(t, change(next, "e1", false), ErrNotKept)
+		next.Hear(earlier)
+		assert.Equal(t, []string{"e2"}, next.Bans(), "what is told again takes nothing back")
+		old.Hear(next.Wishes())
+		assert.Equal(t, []string{"e2"}, old.Bans())
+		d.fault.Store(nil)
+		time.Sleep(2 * time.Second)
+		assert.Empty(t, old.Wishes())
+		assert.Empty(t, next.Wishes())
+		assert.NoError(t, change(old, "e2", false))
+		time.Sleep(2 * lookTime)
+		next.Hear(earlier)
+		assert.Empty(t, next.Bans(), "the file has a later word")
+	})
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lynxjunction/lynxjunction/internal/clock"
 	"github.com/lynxjunction/lynxjunction/internal/hands"
 	"github.com/lynxjunction/lynxjunction/logic"
 )
@@ -191,6 +192,7 @@
 			up.byHand(logic.EndpointID(id), true) // at once, whatever waits before it in the queue
 		}
 		l.postFirst(said{logic.EndpointID(id), out})
+		l.changed()
 	}
 	return l
 }
@@ -625,7 +627,7 @@
 }
 
 func (e moved) happen(l *loop) {
-	l.list.reloaded = monotonic()
+	l.list.reloaded = clock.Monotonic()
 	l.list.configured = l.list.reloaded
 	defer l.changed()
 	if l.list.move(e.discovery) {
--- a/internal/sidecar/sibling.go
+++ b/internal/sidecar/sibling.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/valyala/fastjson"
-	"golang.org/x/sys/unix"
 
+	"github.com/lynxjunction/lynxjunction/internal/hands"
 	"github.com/lynxjunction/lynxjunction/internal/terms"
 	"github.com/lynxjunction/lynxjunction/logic"
 )
@@ -29,16 +29,8 @@
 	reloaded  time.Duration // when a new configuration was read last, on the machine's monotonic clock; 0 for never
 	following bool          // a watch is open
 	drained   map[logic.EndpointID]drain
-	change    uint64 // of the teller's count
-}
-
-// monotonic is the machine's clock that no step moves and that all its processes read alike.
-func monotonic() time.Duration {
-	var now unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &now) != nil {
-		return 0
-	}
-	return time.Duration(now.Nano())
+	byHand    []hands.Wish // calls by hand that are in force and not in the file that all share
+	change    uint64       // of the teller's count
 }
 
 // errStill is that the loop did not answer in time.
@@ -50,7 +42,7 @@
 	l.postFirst(asked(func(l *loop) {
 		k := knowledge{
 			inventory: l.list.inventory(), discovery: l.list.addr, reloaded: l.list.reloaded, following: l.list.current.live(),
-			drained: map[logic.EndpointID]drain{}, change: l.changes.Load(),
+			drained: map[logic.EndpointID]drain{}, change: l.changes.Load(), byHand: l.hands.Wishes(),
 		}
 		for id, mark := range l.list.drained {
 			k.drained[id] = mark
@@ -86,6 +78,7 @@
 		if len(parts) == 0 {
 			part.Set("first", a.NewTrue())
 			part.Set("drained", k.drainedList(a))
+			part.Set("by_hand", k.byHandList(a))
 		}
 		if parts = append(parts, part); len(rest) == 0 {
 			return parts
@@ -114,6 +107,19 @@
 	return list
 }
 
+func (k knowledge) byHandList(a *fastjson.Arena) *fastjson.Value {
+	list := a.NewArray()
+	for n, w := range k.byHand {
+		o := a.NewObject()
+		o.Set("id", a.NewString(w.ID))
+		o.Set("out", boolean(a, w.Out))
+		o.Set("base", a.NewNumberString(strconv.FormatUint(w.Base, 10)))
+		o.Set("at_ns", a.NewNumberString(strconv.FormatInt(int64(w.At), 10)))
+		list.SetArrayItem(n, o)
+	}
+	return list
+}
+
 // add takes one more part, and tells whether all have come.
 func (k *knowledge) add(part *fastjson.Value) (whole bool, err error) {
 	i, err := decode(part)
@@ -125,6 +131,11 @@
 		for _, o := range part.GetArray("drained") {
 			k.drained[logic.EndpointID(o.GetStringBytes("id"))] = drain{version: o.GetInt64("version"), started: terms.Millis(o, "started_ms")}
 		}
+		for _, o := range part.GetArray("by_hand") {
+			k.byHand = append(k.byHand, hands.Wish{
+				ID: string(o.GetStringBytes("id")), Out: o.GetBool("out"), Base: o.GetUint64("base"), At: time.Duration(o.GetInt64("at_ns")),
+			})
+		}
 	}
 	k.version, k.full = i.version, true
 	k.servers = append(k.servers, i.servers...)
@@ -141,6 +152,7 @@
 // Else the own watch counts, and of the sibling's word what takes an endpoint out, or tells of its later start, which must not wait for
 // the watch.
 func (e siblingTold) happen(l *loop) {
+	l.hands.Hear(e.byHand)
 	if e.reloaded > l.list.configured {
 		moved{e.discovery}.happen(l)
 		l.list.reloaded, l.list.configured = e.reloaded, e.reloaded
--- a/internal/sidecar/sibling_test.go
+++ b/internal/sidecar/sibling_test.go
@@ -13,6 +13,8 @@
 	"github.com/valyala/fastjson"
 	"go.uber.org/zap"
 
+	"github.com/lynxjunction/lynxjunction/internal/clock"
+	"github.com/lynxjunction/lynxjunction/internal/hands"
 	"github.com/lynxjunction/lynxjunction/logic"
 )
 
@@ -123,7 +125,7 @@
 		reports := knowledge{inventory: inventory{version: noVersion, full: true}, discovery: elsewhere.Addr().String()}
 		siblingTold{reports}.happen(l)
 		assert.Equal(t, mine, l.list.addr)
-		l.list.configured = monotonic()
+		l.list.configured = clock.Monotonic()
 		reports.reloaded = l.list.configured - time.Second
 		siblingTold{reports}.happen(l)
 		assert.Equal(t, mine, l.list.addr, "ours is later")
@@ -136,7 +138,8 @@
 
 // A list of any length goes over the line in parts; one that ends in the middle is not believed, and the next one counts.
 func TestKnowledgeGoesInParts(t *testing.T) {
-	k := knowledge{discovery: "127.0.0.1:7", reloaded: 5 * time.Second, following: true, drained: map[logic.EndpointID]drain{"x": {version: 3, started: 8}}}
+	k := knowledge{discovery: "127.0.0.1:7", reloaded: 5 * time.Second, following: true, drained: map[logic.EndpointID]drain{"x": {version: 3, started: 8}},
+		byHand: []hands.Wish{{ID: "s000001", Out: true, Base: 4, At: 77}}}
 	k.version, k.full = 12, true
 	for n := range 2*partMostEntries + 7 {
 		k.servers = append(k.servers, inService(fmt.Sprintf("s%06d", n), logic.Millis(n)))
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fastjson"
 	"go.uber.org/zap"
 
+	"github.com/lynxjunction/lynxjunction/internal/clock"
 	"github.com/lynxjunction/lynxjunction/internal/hands"
 	"github.com/lynxjunction/lynxjunction/internal/terms"
 	"github.com/lynxjunction/lynxjunction/logic"
@@ -62,7 +63,7 @@
 
 // Read decodes the file at path.
 func Read(path string) (*Start, error) {
-	readAt := monotonic()
+	readAt := clock.Monotonic()
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -555,6 +555,7 @@
 		list := encode(&a, k.inventory)
 		list.Set("first", a.NewTrue())
 		list.Set("drained", k.drainedList(&a))
+		list.Set("by_hand", k.byHandList(&a))
 		list.Set("discovery", a.NewString(k.discovery))
 		list.Set("reloaded_ns", a.NewNumberString(strconv.FormatInt(int64(k.reloaded), 10)))
 		list.Set("following", boolean(&a, k.following))
