--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -169,10 +169,15 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+	next, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)) // of its own: two new configurations may come at once
+	if err != nil {
+		return err
+	}
+	_, err = next.Write(text)
+	if err = errors.Join(err, next.Close()); err != nil {
 		return err
 	}
-	return os.Rename(path+".new", path) // a process may read it just now
+	return os.Rename(next.Name(), path) // a process may read it just now
 }
 
 // call asks a console something by hand, again as long as it is told to, and returns when it said yes.
