A call to a discovery that was away keeps its place, whatever calls cost before

Symptom: after discovery's return, crowded, some processes heard their list 7 s later, and requests went to draining endpoints. Cause, by the log at the test: the time of discovery's queue was reckoned from the shortest latency ever seen, that of before the outage; the further call after 1.1 s was refused at once, and with it the open one that waited.

--- a/logic/discovery.go
+++ b/logic/discovery.go
@@ -274,6 +274,9 @@
 	}
 	if c.refusals++; c.refusals > faultsInARow {
 		c.owed[owedReached] = b.now + c.bounds.Reached
+		if c.shortest < unknownWork {
+			c.shortest = Millis(math.Inf(1)) // how little a call took before says nothing of the work that it is now
+		}
 	}
 }
 
--- a/logic/discovery_test.go
+++ b/logic/discovery_test.go
@@ -260,3 +260,48 @@
 		assert.LessOrEqual(t, c.heard-from, furtherSoon+furtherSpacing+500, "fleet of %d: calls at %v", fleet, c.calls)
 	}
 }
+
+// refusingDiscovery turns the next calls away at once and leaves those after them open.
+type refusingDiscovery struct {
+	listCaller
+	refusals int
+}
+
+func (d *refusingDiscovery) Watch() {
+	d.calls = append(d.calls, d.now)
+	if d.refusals--; d.refusals >= 0 {
+		d.after(1, func() {
+			d.b.At(d.now)
+			d.b.ListRefused(1)
+		})
+	}
+}
+
+func (d *refusingDiscovery) Wake(after Millis, t TimerID) {
+	if t == 1 {
+		d.after(after, func() {
+			d.b.At(d.now)
+			d.b.Alarm(1)
+		})
+	}
+}
+
+// Discovery that answered in milliseconds and came back crowded after an outage: a call that it takes in is left its place for as long as
+// any queue may take, since what a call cost it before says nothing now. While it was never away the old latency counts.
+func TestACallToADiscoveryThatWasAwayKeepsItsPlace(t *testing.T) {
+	for refusals, least := range map[int]Millis{faultsInARow + 2: queueWait, 1: furtherSoon} {
+		d := &refusingDiscovery{listCaller: listCaller{Outgoing: nowhere{}, eventQueue: eventQueue{now: 1000}}}
+		d.b = New(Terms{MustAsk: true, Fleet: 8, LongestWait: 1200, Notified: NotificationBounds{Reached: 6000, Moved: 4000, Ended: 2000}}, d, d.now)
+		d.b.ListEnds(false)
+		d.b.ListHeard(5)
+		d.calls, d.refusals = nil, refusals
+		d.b.ListLost(0)
+		d.playUntil(d.now + 9000)
+		open := d.calls[refusals]
+		next := d.calls[refusals+1]
+		assert.GreaterOrEqual(t, next-open, least, "after %d refusals", refusals)
+		if refusals == 1 {
+			assert.Less(t, next-open, queueWait)
+		}
+	}
+}
