--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -35,65 +34,6 @@
 	stallTime   = 250 * time.Millisecond // between two parts of an answer, where the settings name no time to connect
 )
 
-// reach is how far a leg came.
-type reach int
-
-const (
-	notDialled reach = iota
-	dialling
-	writing // up to here the request's last byte was not written: the endpoint never began it
-	written
-	answered
-)
-
-// legError is why a leg was not satisfied, and how far it had come by then.
-type legError struct {
-	reach   reach
-	outcome logic.Outcome
-	cause   error
-}
-
-func (e *legError) Error() string {
-	return fmt.Sprintf("%s, reach %d: %v", outcomeNames[e.outcome], e.reach, e.cause)
-}
-
-func (e *legError) Unwrap() error { return e.cause }
-
-// failed makes a legError from an error of the network.
-func failed(at reach, cause error, cancelled bool) *legError {
-	e := &legError{reach: at, outcome: logic.Reset, cause: cause}
-	switch {
-	case cancelled:
-		e.outcome = logic.Cancelled
-	case at <= writing && ownFault(cause):
-		e.outcome = logic.NotSent
-	case at <= writing:
-		e.outcome = logic.NoConnection
-	case errors.Is(cause, os.ErrDeadlineExceeded):
-		e.outcome = logic.TimedOut
-	}
-	return e
-}
-
-// errDescriptors is that all descriptors which this process may use are in use.
-var errDescriptors = errors.New("no descriptor left")
-
-// ownFault tells that a connection failed for want of something of this process or machine, which says nothing of the endpoint.
-func ownFault(cause error) bool {
-	if errors.Is(cause, errDescriptors) {
-		return true
-	}
-	var errno syscall.Errno
-	if !errors.As(cause, &errno) {
-		return false
-	}
-	switch errno {
-	case syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN:
-		return true
-	}
-	return false
-}
-
 // reply is an endpoint's 200: whole, or passed on as it comes.
 type reply struct {
 	header http.Header
