Memory of three processes of a sidecar: told to the collector when their number changes

Seen by reading: with three processes the collector's limit was set 20 times a second, each a stop of the world, and back at two it stayed at a third.

--- a/internal/rig/crowd.go
+++ b/internal/rig/crowd.go
@@ -26,8 +26,14 @@
 	crowdMixed crowdKind = "crowd"       // every third writes half a head
 	crowdHeads crowdKind = "crowd-heads" // each does
 	crowdDrip  crowdKind = "crowd-drip"  // each goes on with its head, byte by byte, and never ends it
+	crowdKept  crowdKind = "crowd-kept"  // each asks whether the sidecar is up, has its answer, and rests
 )
 
+// keptPause is the time before one that had its answer and was sent away asks again: what it asks is no load.
+const keptPause = 500 * time.Millisecond
+
+const wholeRequest = "GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
+
 // isCrowd tells whether a fault is a crowd.
 func isCrowd(what string) bool { return strings.HasPrefix(what, string(crowdMixed)) }
 
@@ -35,6 +41,10 @@
 func (r *Rig) crowd(ctx context.Context, kind crowdKind, sidecar, many int, until float64) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(max(until-r.now(), 0)*float64(time.Millisecond)))
 	defer cancel()
+	pause := crowdPause
+	if kind == crowdKept {
+		pause = keptPause
+	}
 	var all sync.WaitGroup
 	for n := range many {
 		all.Go(func() {
@@ -42,7 +52,7 @@
 				r.rest(ctx, sidecar, kind, kind != crowdMixed || n%3 == 0)
 				select {
 				case <-ctx.Done():
-				case <-time.After(crowdPause):
+				case <-time.After(pause):
 				}
 			}
 		})
@@ -58,7 +68,10 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	if begins {
+	switch {
+	case kind == crowdKept:
+		io.WriteString(conn, wholeRequest)
+	case begins:
 		io.WriteString(conn, halfHead)
 	}
 	if kind == crowdDrip {
--- a/internal/rig/crowd_test.go
+++ b/internal/rig/crowd_test.go
@@ -52,13 +52,15 @@
 	}
 }
 
-// The same where each of a crowd writes half a head, or goes on with it byte by byte and never ends it; and where the sidecar is handed
+// The same where each of a crowd writes half a head, or goes on with it byte by byte and never ends it, or
+// has had an answer and rests; and where the sidecar is handed
 // over in the middle of it, so that two processes share its descriptors.
 func TestRequestsAreServedBesideOtherCrowds(t *testing.T) {
 	sound := plainProgram(t)
 	for name, change := range map[string]func(s *scenario.Scenario){
 		"half heads": func(s *scenario.Scenario) { s.Faults[0].What, s.Faults[0].Size = string(crowdHeads), 600 },
 		"drip":       func(s *scenario.Scenario) { s.Faults[0].What, s.Faults[0].Size = string(crowdDrip), 600 },
+		"kept":       func(s *scenario.Scenario) { s.Faults[0].What, s.Faults[0].Size = string(crowdKept), 600 },
 		"hand-over": func(s *scenario.Scenario) {
 			s.Faults = append(s.Faults, scenario.Fault{What: "upgrade", At: 3, Who: []string{"s0"}})
 		},
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -180,7 +180,7 @@
 	switch f.What {
 	case "leave": // done by the clients, which look at the scenario
 		r.sleep(ctx, until)
-	case string(crowdMixed), string(crowdHeads), string(crowdDrip):
+	case string(crowdMixed), string(crowdHeads), string(crowdDrip), string(crowdKept):
 		r.crowd(ctx, crowdKind(f.What), s, int(f.Size), until)
 	case "reload":
 		p.Process.Signal(syscall.SIGHUP)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -116,7 +116,7 @@
 	"list-off": {'d', true, 0, 0, ""}, "list-late": {'d', true, 0.01, 600, "s"},
 	"list-busy": {'d', true, 0.05, 60, "s of work that one call of each sidecar makes together"},
 	"crowd":     {'s', true, 1, 5000, "connections to each"}, "crowd-heads": {'s', true, 1, 5000, "connections to each"},
-	"crowd-drip": {'s', true, 1, 5000, "connections to each"},
+	"crowd-drip": {'s', true, 1, 5000, "connections to each"}, "crowd-kept": {'s', true, 1, 5000, "connections to each"},
 	"list-spoil": {'d', false, 1, 10, "calls of each sidecar that are spoilt"}, "move": {'s', false, 0, 0, ""},
 	"maint": {'h', true, 0, 0, ""},
 }
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -188,16 +188,17 @@
 	door   *net.TCPListener
 	log    *zap.Logger
 
-	mu       sync.Mutex
-	elder    *peer // the process before this one; nil for none
-	younger  *peer // the new process; nil for none
-	offers   *net.UnixListener
-	joined   bool         // there was another
-	moving   atomic.Int64 // the elder's long transfers; below 0 while it has not said
-	together atomic.Bool
-	born     time.Time
-	heir     bool        // this process has inherited
-	waiting  atomic.Bool // and takes no clients yet
+	mu         sync.Mutex
+	elder      *peer // the process before this one; nil for none
+	younger    *peer // the new process; nil for none
+	offers     *net.UnixListener
+	joined     bool         // there was another
+	moving     atomic.Int64 // the elder's long transfers; below 0 while it has not said
+	together   atomic.Bool
+	born       time.Time
+	heir       bool         // this process has inherited
+	waiting    atomic.Bool  // and takes no clients yet
+	limitedFor atomic.Int64 // processes that share the memory, as the collector was told; 0 for not yet
 }
 
 // peers are the other processes, and how many descriptors they hold.
@@ -467,7 +468,8 @@
 	if elder != nil && younger != nil {
 		processes = 3
 	}
-	if !p.together.Swap(true) || processes > 2 {
+	p.together.Store(true)
+	if p.limitedFor.Swap(processes) != processes {
 		debug.SetMemoryLimit(p.memory * memoryPart / processes)
 	}
 	p.front.sockets.shareWith(held)
@@ -475,6 +477,7 @@
 
 func (p *pair) alone() {
 	p.together.Store(false)
+	p.limitedFor.Store(1)
 	p.open()
 	debug.SetMemoryLimit(p.memory * memoryPart)
 	p.front.sockets.shareWith(-1)
