--- a/internal/rig/client.go
+++ b/internal/rig/client.go
@@ -155,7 +155,7 @@
 		if err != nil {
 			l.Close()
 			// A kept connection that the sidecar closed as this was written: it is sent once more, on a new one.
-			if used && try == 0 && !isTimeout(err) {
+			if used && try == 0 && !isTimeout(err) && !(sent > 0 && c.rig.killedSince(c.sidecar, sent)) {
 				sent = 0
 				continue
 			}
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -273,12 +273,24 @@
 	r.mu.Unlock()
 	r.sleep(ctx, until)
 	next.want = true
+	r.mu.Lock()
+	r.kills[s] = r.now()
+	r.mu.Unlock()
 	next.Process.Kill()
 	<-next.ended
 	r.book.Excuse(s, r.now(), r.now()+1, "one of its processes killed")
 	return nil
 }
 
+// killedSince tells whether one of a sidecar's two processes was killed at a time or later: what was sent to it may have been read, and
+// is not for its client to send once more as if a resting connection had been closed.
+func (r *Rig) killedSince(sidecar int, at float64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	killed, any := r.kills[sidecar]
+	return any && killed >= at
+}
+
 // onLink puts a fault on the links of one sidecar.
 func (r *Rig) onLink(ctx context.Context, n int, f *scenario.Fault, p scenario.Place, until float64) {
 	fault := links.Fault{Way: map[string]links.Way{"": links.Both, "there": links.There, "back": links.Back}[f.Way]}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -77,6 +77,7 @@
 	sidecars  []*process           // nil while it is down
 	all       []*process
 	clients   []*client
+	kills     map[int]float64 // when one of a sidecar's two processes was killed last
 	fault     error
 	stop      context.CancelCauseFunc
 	tasks     sync.WaitGroup
@@ -136,7 +137,7 @@
 func (r *Rig) Run(ctx context.Context, s *scenario.Scenario) (*Result, error) {
 	ctx, r.stop = context.WithCancelCause(ctx)
 	defer r.stop(nil)
-	r.s, r.current, r.began = s, map[string]*endpoint{}, time.Now()
+	r.s, r.current, r.kills, r.began = s, map[string]*endpoint{}, map[int]float64{}, time.Now()
 	if r.Say == nil {
 		r.Say = func(float64, string) {}
 	}
--- a/internal/soak/profiles.go
+++ b/internal/soak/profiles.go
@@ -114,13 +114,16 @@
 // slowAnswers has discovery take some seconds for each call, so that of two new processes one at least hears its list later than it takes
 // the clients. All other watches are open and stay so, and endpoints drain while the processes before these still hear of it.
 func (d *drawing) slowAnswers() {
-	const lastDrain = 5.5
+	const (
+		watched   = 2.5 // seconds until every first call is answered: sidecars spread them over two
+		lastDrain = 5.5
+	)
 	answer := d.between(3, 4)
-	d.add(scenario.Fault{What: "list-busy", At: 0.5, For: lengthSeconds - 0.5, Size: hundredth(answer * float64(d.s.Fleet.Sidecars))})
+	d.add(scenario.Fault{What: "list-busy", At: watched, For: lengthSeconds - watched - 0.5, Size: hundredth(answer * float64(d.s.Fleet.Sidecars))})
 	for _, n := range d.Perm(d.s.Fleet.Sidecars)[:2] {
-		d.add(scenario.Fault{What: "upgrade", At: d.between(0.7, 1.4), Who: []string{fmt.Sprint("s", n)}})
+		d.add(scenario.Fault{What: "upgrade", At: hundredth(watched + d.between(0.2, 0.9)), Who: []string{fmt.Sprint("s", n)}})
 	}
 	for _, n := range d.drained {
-		d.add(scenario.Fault{What: "drain", At: d.between(1.8, lastDrain), Who: []string{fmt.Sprint("e", n)}})
+		d.add(scenario.Fault{What: "drain", At: hundredth(watched + d.between(1.3, lastDrain-0.5)), Who: []string{fmt.Sprint("e", n)}})
 	}
 }
