--- a/internal/soak/profiles.go
+++ b/internal/soak/profiles.go
@@ -100,6 +100,7 @@
 	}
 	if d.chance(0.5) {
 		d.busyDiscovery()
+		d.fitRound()
 	} else {
 		d.discoveryFaults()
 	}
@@ -111,6 +112,23 @@
 	}
 }
 
+// fitRound leaves discovery the capacity for the calls of new processes too: else the work of a round would not fit into the time in which a
+// change has to be known.
+func (d *drawing) fitRound() {
+	sidecars := float64(d.s.Fleet.Sidecars)
+	calls := sidecars
+	for _, f := range d.s.Faults {
+		if f.What == "upgrade" || f.What == "upgrade-fails" {
+			calls++
+		}
+	}
+	for n := range d.s.Faults {
+		if f := &d.s.Faults[n]; f.What == "list-busy" {
+			f.Size = hundredth(f.Size * sidecars / calls)
+		}
+	}
+}
+
 // slowAnswers has discovery take some seconds for each call, so that of two new processes one at least hears its list later than it takes
 // the clients. All other watches are open and stay so, and endpoints drain while the processes before these still hear of it.
 func (d *drawing) slowAnswers() {
