--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -114,7 +114,7 @@
 	"jitter": {'l', true, 0.1, 60000, "ms at most"}, "limit": {'l', true, 1, 1e9, "bytes a second"}, "reset": {'l', false, 0, 0, ""},
 	"lose":     {'l', true, 0.001, 1, "share of answers"},
 	"list-off": {'d', true, 0, 0, ""}, "list-late": {'d', true, 0.01, 600, "s"},
-	"list-busy": {'d', true, 0.05, 60, "s of work that one call of each sidecar makes together"},
+	"list-busy": {'d', true, 0.05, 600, "s of work that one call of each sidecar makes together"},
 	"crowd":     {'s', true, 1, 5000, "connections to each"}, "crowd-heads": {'s', true, 1, 5000, "connections to each"},
 	"crowd-drip": {'s', true, 1, 5000, "connections to each"}, "crowd-kept": {'s', true, 1, 5000, "connections to each"},
 	"list-spoil": {'d', false, 1, 10, "calls of each sidecar that are spoilt"}, "move": {'s', false, 0, 0, ""},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -121,6 +121,8 @@
 	least, most := math.Inf(1), 0.0
 	for _, profile := range Profiles() {
 		for seed := range uint64(200) {
+			_, err := DrawProfile(profile, seed, true)
+			require.NoError(t, err, "%s, seed %d, large", profile, seed)
 			s, err := DrawProfile(profile, seed, false)
 			require.NoError(t, err, "%s, seed %d", profile, seed)
 			again, err := DrawProfile(profile, seed, false)
