--- a/internal/rig/crowded_return_test.go
+++ b/internal/rig/crowded_return_test.go
@@ -10,8 +10,8 @@
 // made a further one after 1.1 s, since the queue's time is reckoned from the shortest latency that it ever saw, and that was of before:
 // the further call was refused at once, and with it the one that waited, which had its place in the queue. Log of s6, seconds after
 // discovery's return at 5.0: call 12 at 0.68 refused at once, call 13 at 1.48 waits, call 14 at 2.58 refused at once, call 13 ends after
-// 1,100 ms, call 15 at 3.38 waits; its list comes some 7 s after the return, and requests go to endpoints that drain past the grace: 28
-// to 48 cases in three plays, 35 with the version before.
+// 1,100 ms, call 15 at 3.38 waits; its list comes some 7 s after the return, and requests go to endpoints that drain past the grace: 48
+// and 28 cases in two plays, 35 with the version before.
 func TestDrainsAreKeptWhenACrowdedDiscoveryReturns(t *testing.T) {
 	t.Parallel()
 	result, err := play(t, &Rig{Program: program(t, "")}, "crowded-return.toml")
