--- a/internal/sidecar/discovery_outage.go
+++ b/internal/sidecar/discovery_outage.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"syscall"
 	"time"
 
@@ -80,8 +81,11 @@
 	return nil
 }
 
-// outageCallsKept bounds the calls that one log line tells of: the last ones.
-const outageCallsKept = 8
+// outageCallsKept bounds the failed calls that one log line describes, outageStartsKept the calls of which it gives the start: the last ones.
+const (
+	outageCallsKept  = 8
+	outageStartsKept = 24
+)
 
 // While an outage lasts a line tells of it after outageLogFirst, then each time after twice as long, outageLogMost at most.
 const (
@@ -94,8 +98,9 @@
 	began    time.Time
 	moved    bool // a new configuration named another discovery
 	calls    int
-	further  int // calls made while another one was open
-	refused  int // calls turned away
+	starts   []time.Duration // of the calls, from the outage's start
+	further  int             // calls made while another one was open
+	refused  int             // calls turned away
 	failed   []outageCall
 	logAfter time.Duration // of the next line
 }
@@ -124,6 +129,16 @@
 	return nil
 }
 
+type outageStarts []time.Duration
+
+// MarshalLogArray writes the starts in milliseconds, for the log.
+func (s outageStarts) MarshalLogArray(to zapcore.ArrayEncoder) error {
+	for _, start := range s {
+		to.AppendFloat64(math.Round(milliseconds(start)))
+	}
+	return nil
+}
+
 // begin starts an outage unless one goes on.
 func (o *outage) begin(now time.Time) {
 	if o.began.IsZero() {
@@ -143,6 +158,18 @@
 	return true
 }
 
+// call books a call that is made, beside others that are open or alone.
+func (o *outage) call(now time.Time, further bool) {
+	o.calls++
+	if further {
+		o.further++
+	}
+	if len(o.starts) == outageStartsKept {
+		o.starts = append(o.starts[:0], o.starts[1:]...)
+	}
+	o.starts = append(o.starts, now.Sub(o.began))
+}
+
 // fail books a call that brought no list.
 func (o *outage) fail(e *callError) {
 	if len(o.failed) == outageCallsKept {
@@ -159,7 +186,7 @@
 	return []zap.Field{
 		zap.Float64("outage_ms", milliseconds(now.Sub(o.began))), zap.Int("calls", o.calls),
 		zap.Int("calls_beside_an_open_one", o.further), zap.Int("calls_refused", o.refused),
-		zap.Array("last_failed", outageCalls(o.failed)),
+		zap.Array("calls_at_ms", outageStarts(o.starts)), zap.Array("last_failed", outageCalls(o.failed)),
 	}
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -583,11 +583,11 @@
 	if !l.list.call(l.ctx, l.postNews) {
 		return
 	}
-	l.list.outage.begin(time.Now())
-	l.list.outage.calls++
+	now, further := time.Now(), l.list.openCalls() > 1
+	l.list.outage.begin(now)
+	l.list.outage.call(now, further)
 	l.counters.listCalls.Add(1)
-	if l.list.openCalls() > 1 {
-		l.list.outage.further++
+	if further {
 		l.counters.listCallsFurther.Add(1)
 	}
 	l.log.Debug("discovery is called", zap.String("addr", l.list.addr), zap.Int("call", l.list.last), zap.Int64("after", l.list.version))
