--- /dev/null
+++ b/internal/virtual/golden_test.go
@@ -0,0 +1,216 @@
+package virtual
+
+import (
+	"flag"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+// The golden record: a hash of every call that goes out of the module, with its time, for each of the days in
+// golden_days_test.go. A change that is meant to leave all decisions as they are leaves the record as it is. A change of a
+// decision, of the days, of the endpoints' model or of this package's virtual time writes it anew, in a commit that says so:
+//
+//	go test ./internal/virtual -run TestDecisionsAreThoseOfTheRecord -update
+//
+// With -calls DIR the calls themselves are written too, a file for each day, so that those of two versions can be compared.
+const (
+	goldenFile = "testdata/golden.txt"
+	// goldenArch is the architecture of the record. Others may round products and sums together.
+	goldenArch = "amd64"
+	goldenHead = "# day, seed, calls, hash of all calls, hash of the calls of each second; golden_test.go tells how to write it anew\n"
+
+	seedsPerDay = 2
+	secondWide  = 1000.0 // milliseconds of virtual time that share a hash
+)
+
+var (
+	update   = flag.Bool("update", false, "write the golden record anew; refused where CI=true")
+	callsDir = flag.String("calls", "", "directory to which the calls of the golden days are written")
+)
+
+// callLog hashes the calls of a day's instances.
+type callLog struct {
+	now     func() float64
+	count   int
+	all     hash.Hash64
+	seconds []hash.Hash32
+	counts  []int
+	line    []byte
+	text    *os.File
+}
+
+func newCallLog(t *testing.T, name string) *callLog {
+	log := &callLog{all: fnv.New64a(), now: func() float64 { return 0 }}
+	if *callsDir != "" {
+		file, err := os.Create(filepath.Join(*callsDir, name))
+		require.NoError(t, err)
+		t.Cleanup(func() { require.NoError(t, file.Close()) })
+		log.text = file
+	}
+	return log
+}
+
+// add books one call of an instance. Numbers are written so that they are told apart to the last bit.
+func (l *callLog) add(sidecar, life int, method string, arguments ...any) {
+	now := l.now()
+	line := strconv.AppendFloat(l.line[:0], now, 'g', -1, 64)
+	line = strconv.AppendInt(append(line, " s"...), int64(sidecar), 10)
+	line = strconv.AppendInt(append(line, '.'), int64(life), 10)
+	line = append(append(line, ' '), method...)
+	for _, argument := range arguments {
+		line = append(line, ' ')
+		switch a := argument.(type) {
+		case string:
+			line = append(line, a...)
+		case int:
+			line = strconv.AppendInt(line, int64(a), 10)
+		case logic.Millis:
+			line = strconv.AppendFloat(line, float64(a), 'g', -1, 64)
+		case []byte:
+			line = fmt.Appendf(line, "%x", a)
+		default:
+			panic(fmt.Sprintf("an argument of type %T", argument))
+		}
+	}
+	l.line = append(line, '\n')
+	second := int(now / secondWide)
+	for len(l.seconds) <= second {
+		l.seconds, l.counts = append(l.seconds, fnv.New32a()), append(l.counts, 0)
+	}
+	l.count++
+	l.counts[second]++
+	_, _ = l.all.Write(l.line)
+	_, _ = l.seconds[second].Write(l.line)
+	if l.text != nil {
+		if _, err := l.text.Write(l.line); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// goldenDay is what the record keeps of one day and seed.
+type goldenDay struct {
+	name    string // day and seed
+	calls   int
+	all     string
+	seconds []string
+}
+
+func (l *callLog) day(name string) goldenDay {
+	day := goldenDay{name: name, calls: l.count, all: fmt.Sprintf("%016x", l.all.Sum64())}
+	for _, second := range l.seconds {
+		sum := second.Sum32()
+		day.seconds = append(day.seconds, fmt.Sprintf("%04x", uint16(sum>>16)^uint16(sum)))
+	}
+	return day
+}
+
+func (d goldenDay) String() string {
+	return fmt.Sprintf("%s %d %s %s", d.name, d.calls, d.all, strings.Join(d.seconds, " "))
+}
+
+// difference names the first second in which two records of a day differ, "" if they are the same.
+func (d goldenDay) difference(recorded goldenDay) string {
+	if d.String() == recorded.String() {
+		return ""
+	}
+	if recorded.name == "" {
+		return d.name + ": not in the record"
+	}
+	for second := range max(len(d.seconds), len(recorded.seconds)) {
+		if second >= len(d.seconds) || second >= len(recorded.seconds) || d.seconds[second] != recorded.seconds[second] {
+			return fmt.Sprintf("%s: the calls differ from second %d of %d on; %d calls in all, %d in the record", d.name, second,
+				len(recorded.seconds), d.calls, recorded.calls)
+		}
+	}
+	return fmt.Sprintf("%s: the calls differ; %d in all, %d in the record", d.name, d.calls, recorded.calls)
+}
+
+func readGolden(t *testing.T) map[string]goldenDay {
+	text, err := os.ReadFile(goldenFile)
+	require.NoError(t, err)
+	days := map[string]goldenDay{}
+	for line := range strings.Lines(string(text)) {
+		if fields := strings.Fields(line); len(fields) > 4 && !strings.HasPrefix(line, "#") {
+			calls, err := strconv.Atoi(fields[2])
+			require.NoError(t, err, line)
+			name := fields[0] + " " + fields[1]
+			days[name] = goldenDay{name: name, calls: calls, all: fields[3], seconds: fields[4:]}
+		}
+	}
+	return days
+}
+
+// playGolden plays a day with one seed and returns its record.
+func playGolden(t *testing.T, d *day, seed uint64) goldenDay {
+	s := parse(t, d.text(), seed)
+	log := newCallLog(t, fmt.Sprintf("%s-%d", d.name, seed))
+	f := &goldenFleet{day: d, log: log}
+	_, err := Run(s, f.start)
+	require.NoError(t, err)
+	return log.day(fmt.Sprintf("%s %d", d.name, seed))
+}
+
+// No call that goes out of the module changes unnoticed.
+func TestDecisionsAreThoseOfTheRecord(t *testing.T) {
+	inCI := os.Getenv("CI") == "true"
+	if runtime.GOARCH != goldenArch {
+		require.False(t, inCI, "the record is one of %s", goldenArch)
+		t.Skipf("the record is one of %s, this is %s", goldenArch, runtime.GOARCH)
+	}
+	require.False(t, inCI && *update, "-update is refused in CI")
+	recorded, text := map[string]goldenDay{}, goldenHead
+	if !*update {
+		recorded = readGolden(t)
+		assert.Len(t, recorded, len(days)*seedsPerDay, "days in the record")
+	}
+	for n := range days {
+		for seed := range uint64(seedsPerDay) {
+			seed += uint64(n)*100 + 1
+			t.Run(fmt.Sprintf("%s/%d", days[n].name, seed), func(t *testing.T) {
+				played := playGolden(t, &days[n], seed)
+				text += played.String() + "\n"
+				if difference := played.difference(recorded[played.name]); difference != "" && !*update {
+					t.Error(difference)
+				}
+			})
+		}
+	}
+	if *update {
+		require.False(t, t.Failed(), "a day could not be played")
+		require.NoError(t, os.WriteFile(goldenFile, []byte(text), 0o644))
+	}
+}
+
+// The record tells times apart to the last bit, and arguments, callers and the order of calls.
+func TestRecordTellsCallsApart(t *testing.T) {
+	of := func(calls func(l *callLog)) string {
+		l := &callLog{all: fnv.New64a(), now: func() float64 { return 0.1 }}
+		calls(l)
+		return l.day("d 1").String()
+	}
+	send := func(sidecar int, to string, after logic.Millis) func(l *callLog) {
+		return func(l *callLog) { l.add(sidecar, 0, "send", "x", to, after) }
+	}
+	both := func(one, other func(l *callLog)) func(l *callLog) { return func(l *callLog) { one(l); other(l) } }
+	base := send(1, "e1", 10)
+	assert.Equal(t, of(base), of(send(1, "e1", 10)))
+	for _, other := range []func(l *callLog){send(2, "e1", 10), send(1, "e2", 10), send(1, "e1", logic.Millis(math.Nextafter(10, 11))), both(base, base),
+		func(l *callLog) { l.now = func() float64 { return math.Nextafter(0.1, 1) }; base(l) }} {
+		assert.NotEqual(t, of(base), of(other))
+	}
+	assert.NotEqual(t, of(both(base, send(2, "e1", 10))), of(both(send(2, "e1", 10), base)))
+}
