--- a/cmd/lynxjunction/drain_after_faults_test.go
+++ b/cmd/lynxjunction/drain_after_faults_test.go
@@ -167,7 +167,9 @@
 var trials atomic.Int32
 
 func ownAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.49.%d:0", trials.Add(1)))
+	const hosts = 254
+	n := trials.Add(1) - 1
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", 49+n/hosts, 1+n%hosts))
 	require.NoError(t, err)
 	defer ln.Close()
 	return ln.Addr().String()
--- /dev/null
+++ b/cmd/lynxjunction/drain_lease_test.go
@@ -0,0 +1,614 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxjunction/lynxjunction/internal/callqueue"
+)
+
+// Here discovery is well and owes a list, but the call that asks for it is answered after the change counts as notified: it waits in
+// discovery's queue, or many answers in a row are faulty. A sidecar that goes on by its last list then sends to what drains. One that
+// stops must not lose requests by it, nor stop where discovery can't be reached.
+
+const (
+	notifiedAfterEnd = 2 * time.Second // after a watch ended in place of telling the change
+
+	leasePace    = 50 * time.Millisecond // between two requests to one sidecar
+	leaseTimeout = time.Second           // that a request names, where a late answer is looked for
+	longTimeout  = 2400 * time.Millisecond
+	answerGrace  = 500 * time.Millisecond
+	settleTime   = 500 * time.Millisecond // from a list that is heard to requests served again without exception
+
+	queuedWork   = 60 * time.Millisecond
+	queuedBefore = 53                      // calls of others before a sidecar's first one
+	queuedFor    = 3200 * time.Millisecond // that this call waits
+	outageTime   = 4 * time.Second
+	overdue      = 3 * time.Second // after a drain's bound, in which requests to it are looked for
+
+	slowerWork = 10 * time.Millisecond // at the endpoint that stays, so that the other one is chosen as long as it may be
+	heldUpMost = 100 * time.Millisecond
+	playsMost  = 3
+)
+
+// leaseDiscovery is a faultyDiscovery that can be away, and before which calls can wait.
+type leaseDiscovery struct {
+	faultyDiscovery
+	addr  string
+	queue *callqueue.Queue
+
+	gateMu sync.Mutex
+	gate   chan struct{} // calls wait until it is closed; nil for none
+	server *http.Server
+}
+
+func newLeaseDiscovery(list string) *leaseDiscovery {
+	return &leaseDiscovery{faultyDiscovery: faultyDiscovery{told: make(chan struct{}), list: list}}
+}
+
+func (d *leaseDiscovery) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if d.queue != nil && d.queue.Take(r.Context(), "sidecar") != nil {
+		return
+	}
+	d.gateMu.Lock()
+	gate := d.gate
+	d.gateMu.Unlock()
+	if gate != nil {
+		select {
+		case <-gate:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	d.faultyDiscovery.ServeHTTP(rw, r)
+}
+
+// crowd has calls of others wait in the queue.
+func (d *leaseDiscovery) crowd(t *testing.T, many int) {
+	before := d.queue.Made()
+	for range many {
+		go d.queue.Take(context.Background(), "others")
+	}
+	require.Eventually(t, func() bool { return d.queue.Made() >= before+many }, time.Second, time.Millisecond)
+}
+
+// hold keeps all calls without an answer until the gate that it returns is closed.
+func (d *leaseDiscovery) hold() chan struct{} {
+	d.gateMu.Lock()
+	defer d.gateMu.Unlock()
+	d.gate = make(chan struct{})
+	return d.gate
+}
+
+// listen takes calls, at the address that it had before; goAway ends all connections and has further ones refused.
+func (d *leaseDiscovery) listen(t *testing.T) {
+	ln, err := net.Listen("tcp", d.addr)
+	require.NoError(t, err)
+	d.addr = ln.Addr().String()
+	d.server = &http.Server{Handler: d}
+	go d.server.Serve(ln)
+}
+
+func (d *leaseDiscovery) goAway() { d.server.Close() }
+
+// since gives the times of the calls after an event, in seconds.
+func (d *leaseDiscovery) since(event time.Time) (times []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, at := range d.calls {
+		times = append(times, fmt.Sprintf("%.2f", at.Sub(event).Seconds()))
+	}
+	return times
+}
+
+// leaseAnswer is what became of one request.
+type leaseAnswer struct {
+	sent   time.Time
+	took   time.Duration
+	status int
+	err    error
+}
+
+// leaseTrial is a set of sidecars, each with a discovery and a load of its own, before an endpoint that will drain and one that stays.
+type leaseTrial struct {
+	*world
+	endpoints [2]string
+	sidecars  []*leaseSidecar
+	timeout   time.Duration // that requests name
+	mu        sync.Mutex
+	lastDrain map[string]time.Time // request to the endpoint that drains, by sidecar's id
+	heldUp    time.Duration        // longest time for which the test's own process had no core
+	broken    []string             // what was expected and not so
+}
+
+// playLease plays a trial and reports what was broken. Where the test's own process was held up meanwhile, so that neither the times that
+// it gave discovery's answers nor those that it booked are right, the trial is played anew; the last play counts as it is.
+func playLease(t *testing.T, play func(trial *leaseTrial)) {
+	for n := 1; ; n++ {
+		var trial *leaseTrial
+		t.Run(fmt.Sprint("play ", n), func(t *testing.T) {
+			trial = newLeaseTrial(t)
+			play(trial)
+		})
+		if t.Failed() || trial.heldUp <= heldUpMost || n == playsMost {
+			assert.Empty(t, trial.broken, "play %d, held up for %v at most", n, trial.heldUp)
+			return
+		}
+		t.Logf("play %d was held up for %v: %v", n, trial.heldUp, trial.broken)
+	}
+}
+
+func (l *leaseTrial) expect(kept bool, format string, args ...any) {
+	if !kept {
+		l.broken = append(l.broken, "\n"+fmt.Sprintf(format, args...))
+	}
+}
+
+// leaseSidecar is one sidecar of a trial, in one process or two.
+type leaseSidecar struct {
+	trial       *leaseTrial
+	id          string
+	name        string
+	listen      string
+	config      string
+	fleet       int
+	script      []string // faulty answers that it meets
+	discoveries [2]*leaseDiscovery
+	processes   []*leaseProcess
+
+	mu      sync.Mutex
+	answers []leaseAnswer
+}
+
+// leaseProcess is one process of a sidecar.
+type leaseProcess struct {
+	*exec.Cmd
+	console string
+}
+
+func newLeaseTrial(t *testing.T) *leaseTrial {
+	l := &leaseTrial{world: &world{T: t}, timeout: leaseTimeout, lastDrain: map[string]time.Time{}}
+	l.endpoints[0] = l.serve(func(rw http.ResponseWriter, r *http.Request) {
+		id, _, _ := strings.Cut(r.Header.Get("Request-Id"), "-")
+		l.mu.Lock()
+		l.lastDrain[id] = time.Now()
+		l.mu.Unlock()
+		io.WriteString(rw, "hello")
+	})
+	l.endpoints[1] = l.serve(func(rw http.ResponseWriter, _ *http.Request) {
+		time.Sleep(slowerWork)
+		io.WriteString(rw, "hello")
+	})
+	return l
+}
+
+// list names the endpoint that stays and the one that drains, the latter only while it is in service.
+func (l *leaseTrial) list(version int, inService bool) string {
+	entries := []string{}
+	for n, addr := range l.endpoints {
+		if n > 0 || inService {
+			entries = append(entries, fmt.Sprintf(`{"id":"s%d","addr":%q,"zone":"a","cell":1,"state":"in_service","weight":1,"started_ms":0}`, n, addr))
+		}
+	}
+	return fmt.Sprintf(`{"version":%d,"full":true,"servers":[%s]}`, version, strings.Join(entries, ","))
+}
+
+// sidecar starts one, with a queue of its own before its discovery or with none.
+func (l *leaseTrial) sidecar(name string, fleet int, queue *callqueue.Queue) *leaseSidecar {
+	s := &leaseSidecar{trial: l, id: fmt.Sprint("n", len(l.sidecars)), name: name, fleet: fleet, listen: ownAddress(l.T),
+		config: filepath.Join(l.TempDir(), "start.json")}
+	host, _, _ := net.SplitHostPort(ownAddress(l.T))
+	for n := range s.discoveries {
+		d := newLeaseDiscovery(l.list(1, true))
+		d.addr, d.queue = net.JoinHostPort(host, "0"), queue
+		d.listen(l.T)
+		l.Cleanup(func() { d.server.Close() })
+		s.discoveries[n] = d
+	}
+	s.configure(0)
+	s.processes = append(s.processes, s.start())
+	l.sidecars = append(l.sidecars, s)
+	return s
+}
+
+// begin waits until all sidecars have heard their first list, and has requests sent to them.
+func (l *leaseTrial) begin() {
+	for _, s := range l.sidecars {
+		s.awaitVersion(1)
+		s.load()
+	}
+	over := make(chan struct{})
+	var pulse sync.WaitGroup
+	pulse.Go(func() { l.pulse(over) })
+	l.Cleanup(func() {
+		close(over)
+		pulse.Wait()
+	})
+	time.Sleep(settleTime)
+}
+
+// pulse notes how late the test's own process is woken.
+func (l *leaseTrial) pulse(over <-chan struct{}) {
+	const beat = 5 * time.Millisecond
+	for last := time.Now(); ; {
+		select {
+		case <-over:
+			return
+		case <-time.After(beat):
+		}
+		now := time.Now()
+		l.heldUp = max(l.heldUp, now.Sub(last)-beat)
+		last = now
+	}
+}
+
+// configure names a discovery in the start file.
+func (s *leaseSidecar) configure(discovery int) {
+	path := startFile(s.trial.T, filepath.Dir(s.config), s.listen, s.discoveries[discovery].addr, s.trial.list(1, true), 512, s.fleet)
+	require.NoError(s.trial, os.Rename(path, s.config))
+}
+
+// start runs a process; a second one takes over from the first.
+func (s *leaseSidecar) start() *leaseProcess {
+	p := &leaseProcess{Cmd: exec.Command(os.Args[0]), console: ownAddress(s.trial.T)}
+	p.Env = append(os.Environ(), "LYNXJUNCTION_TEST_SERVE=1", "RELAY_CONFIG="+s.config, "RELAY_CONSOLE="+p.console,
+		"TMPDIR="+filepath.Dir(s.config))
+	log, err := os.Create(fmt.Sprintf("%s.%d.log", s.config, len(s.processes)))
+	require.NoError(s.trial, err)
+	p.Stderr = log
+	require.NoError(s.trial, p.Start())
+	s.trial.Cleanup(func() {
+		p.Process.Kill()
+		p.Wait()
+		log.Close()
+	})
+	return p
+}
+
+// reload sends SIGHUP.
+func (s *leaseSidecar) reload() {
+	require.NoError(s.trial, s.processes[0].Process.Signal(syscall.SIGHUP))
+}
+
+// handOver starts a second process beside the first.
+func (s *leaseSidecar) handOver() { s.processes = append(s.processes, s.start()) }
+
+// endFirst tells the first process to end.
+func (s *leaseSidecar) endFirst() {
+	require.NoError(s.trial, s.processes[0].Process.Signal(syscall.SIGTERM))
+}
+
+func (s *leaseSidecar) awaitSecondReady() {
+	require.Eventually(s.trial, func() bool {
+		status, _ := get(s.processes[1].console, "/healthcheck")
+		return status == http.StatusOK
+	}, 6*time.Second, 10*time.Millisecond, "%s: the second process takes over", s.name)
+}
+
+func (s *leaseSidecar) awaitVersion(version int) {
+	line := fmt.Sprintf("\nlist_version %d\n", version)
+	require.Eventually(s.trial, func() bool {
+		_, page := get(s.listen, "/counters")
+		return strings.Contains(page, line)
+	}, 20*time.Second, 10*time.Millisecond, "%s hears list %d", s.name, version)
+}
+
+// load sends requests at a steady pace until the test ends, whatever becomes of them.
+func (s *leaseSidecar) load() {
+	var all sync.WaitGroup
+	over := make(chan struct{})
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	client := &http.Client{Transport: transport, Timeout: longTimeout + 2*answerGrace}
+	all.Go(func() {
+		beat := time.NewTicker(leasePace)
+		defer beat.Stop()
+		for n := 0; ; n++ {
+			all.Go(func() { s.ask(client, fmt.Sprintf("%s-%d", s.id, n)) })
+			select {
+			case <-over:
+				return
+			case <-beat.C:
+			}
+		}
+	})
+	s.trial.Cleanup(func() {
+		close(over)
+		all.Wait()
+		transport.CloseIdleConnections()
+	})
+}
+
+func (s *leaseSidecar) ask(client *http.Client, id string) {
+	request, _ := http.NewRequest("GET", "http://"+s.listen+"/look/x", nil)
+	request.Header = http.Header{"Request-Id": {id}, "Request-Class": {"look"},
+		"Request-Timeout": {fmt.Sprintf("%dm", s.trial.timeout.Milliseconds())}}
+	a := leaseAnswer{sent: time.Now()}
+	got, err := client.Do(request)
+	if err == nil {
+		_, err = io.Copy(io.Discard, got.Body)
+		got.Body.Close()
+		a.status = got.StatusCode
+	}
+	a.took, a.err = time.Since(a.sent), err
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = append(s.answers, a)
+}
+
+// between are the answers to what was sent in a span.
+func (s *leaseSidecar) between(from, to time.Time) (some []leaseAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.answers {
+		if !a.sent.Before(from) && a.sent.Before(to) {
+			some = append(some, a)
+		}
+	}
+	return some
+}
+
+// expectAnswered checks that each request of a span was served or refused in its time.
+func (s *leaseSidecar) expectAnswered(from, to time.Time) {
+	s.expect(from, to, "served or refused in time", func(a leaseAnswer) bool {
+		return (a.status == http.StatusOK || a.status == http.StatusServiceUnavailable) && a.took <= s.trial.timeout+answerGrace
+	})
+}
+
+// expectServed checks that each request of a span was served.
+func (s *leaseSidecar) expectServed(from, to time.Time) {
+	s.expect(from, to, "served", func(a leaseAnswer) bool { return a.status == http.StatusOK })
+}
+
+func (s *leaseSidecar) expect(from, to time.Time, what string, kept func(leaseAnswer) bool) {
+	some := s.between(from, to)
+	s.trial.expect(len(some) >= int(to.Sub(from)/leasePace)*3/4, "%s: %d requests ended", s.name, len(some))
+	for _, a := range some {
+		s.trial.expect(a.err == nil && kept(a), "%s: not %s: sent %v after the event, status %d after %v, %v",
+			s.name, what, a.sent.Sub(from), a.status, a.took, a.err)
+	}
+}
+
+// expectDrainKept checks when the last request came to the endpoint that drains.
+func (s *leaseSidecar) expectDrainKept(event time.Time, notified time.Duration, d *leaseDiscovery) {
+	s.trial.mu.Lock()
+	last, sent := s.trial.lastDrain[s.id]
+	s.trial.mu.Unlock()
+	s.trial.expect(sent, "%s: never sent to the endpoint while it was in service", s.name)
+	bound := notified + drainGrace + socketSlack
+	s.trial.expect(last.Sub(event) <= bound, "%s: last request to the draining endpoint %v after the event, %v allowed; calls that discovery took in hand at %v",
+		s.name, last.Sub(event), bound, d.since(event))
+}
+
+// A call behind a watch that ended is answered after the drain counts as notified, in one process and in the middle of a hand-over.
+func TestNoRequestToADrainWhileACallWaitsBehindAnEndedWatch(t *testing.T) {
+	t.Parallel()
+	playLease(t, func(trial *leaseTrial) {
+		var queued, held, handed, termed []*leaseSidecar
+		for _, fleet := range []int{1, 40} {
+			start := func(what string, crowded bool) *leaseSidecar {
+				var queue *callqueue.Queue
+				if crowded {
+					queue = callqueue.New(queuedWork, 0, callqueue.Wait)
+				}
+				return trial.sidecar(fmt.Sprintf("%s, fleet of %d", what, fleet), fleet, queue)
+			}
+			queued = append(queued, start("a queue", true))
+			held = append(held, start("answers together", false))
+			handed = append(handed, start("a queue and a hand-over", true))
+			termed = append(termed, start("a queue and a hand-over before any list", true))
+		}
+		trial.begin()
+		gates := []chan struct{}{}
+		for _, s := range held {
+			gates = append(gates, s.discoveries[0].hold())
+		}
+		for _, s := range slices.Concat(queued, handed, termed) {
+			s.discoveries[0].crowd(trial.T, queuedBefore)
+		}
+		ended := time.Now()
+		for _, s := range trial.sidecars {
+			s.discoveries[0].set(trial.list(2, false))
+			s.discoveries[0].endWatches()
+		}
+		time.AfterFunc(queuedFor, func() {
+			for _, gate := range gates {
+				close(gate)
+			}
+		})
+		time.Sleep(time.Until(ended.Add(500 * time.Millisecond)))
+		for _, s := range slices.Concat(handed, termed) {
+			s.handOver()
+		}
+		time.Sleep(time.Until(ended.Add(1500 * time.Millisecond)))
+		for _, s := range termed {
+			s.endFirst()
+		}
+		for _, s := range handed {
+			s.awaitSecondReady()
+			s.endFirst()
+		}
+		heard := ended.Add(queuedFor + 2*settleTime)
+		if settled := time.Now().Add(2 * settleTime); settled.After(heard) {
+			heard = settled // the hand-overs took longer
+		}
+		over := heard.Add(2 * time.Second)
+		time.Sleep(time.Until(over.Add(leaseTimeout + answerGrace)))
+		for _, s := range trial.sidecars {
+			s.expectDrainKept(ended, notifiedAfterEnd, s.discoveries[0])
+			s.expectAnswered(ended, over)
+			s.expectServed(heard, over)
+			s.awaitVersion(2)
+		}
+	})
+}
+
+// allFaults are all faulty answers in a fixed order.
+func allFaults() []string {
+	return []string{"busy", "reset", "silent", "head only", "half a head", "half a list", "half a list, reset", "a list in drips"}
+}
+
+// inARow are so many faulty answers of one kind, for each kind given.
+func inARow(many int, faults ...string) (scripts [][]string) {
+	for _, fault := range faults {
+		scripts = append(scripts, slices.Repeat([]string{fault}, many))
+	}
+	return scripts
+}
+
+// playFaultyAnswers has one sidecar for each row of faulty answers meet them after an outage, and others after a new configuration.
+func playFaultyAnswers(t *testing.T, afterOutage, afterReload [][]string) {
+	for _, event := range []struct {
+		name     string
+		notified time.Duration
+		scripts  [][]string
+		play     func(trial *leaseTrial) (event time.Time, discovery int)
+	}{
+		{"after an outage", notifiedAfterReturn, afterOutage, faultyAfterReturn},
+		{"after SIGHUP", notifiedAfterReload, afterReload, faultyAfterReload},
+	} {
+		t.Run(event.name, func(t *testing.T) {
+			const fleet = 6
+			playLease(t, func(trial *leaseTrial) {
+				for _, script := range event.scripts {
+					s := trial.sidecar(strings.Join(script, " then "), fleet, nil)
+					s.script = script
+				}
+				trial.begin()
+				happened, discovery := event.play(trial)
+				over := happened.Add(event.notified + drainGrace + overdue)
+				time.Sleep(time.Until(over.Add(leaseTimeout + answerGrace)))
+				for _, s := range trial.sidecars {
+					s.expectDrainKept(happened, event.notified, s.discoveries[discovery])
+					s.expectAnswered(happened, over)
+				}
+			})
+		})
+	}
+}
+
+func faultyAfterReturn(trial *leaseTrial) (event time.Time, discovery int) {
+	for _, s := range trial.sidecars {
+		s.discoveries[0].set(trial.list(1, true), slices.Repeat([]string{"busy"}, 1000)...)
+		s.discoveries[0].endWatches()
+	}
+	time.Sleep(outageTime)
+	for _, s := range trial.sidecars {
+		s.discoveries[0].set(trial.list(2, false), s.script...)
+	}
+	return time.Now(), 0
+}
+
+func faultyAfterReload(trial *leaseTrial) (event time.Time, discovery int) {
+	for _, s := range trial.sidecars {
+		s.discoveries[1].set(trial.list(2, false), s.script...)
+		s.configure(1)
+	}
+	event = time.Now()
+	for _, s := range trial.sidecars {
+		s.reload()
+	}
+	return event, 1
+}
+
+// Six and eight answers in a row that end while time is left.
+func TestDrainsAreKeptBehindManyFaultyAnswersThatEnd(t *testing.T) {
+	t.Parallel()
+	ends := []string{"busy", "reset", "half a head", "half a list", "half a list, reset"}
+	playFaultyAnswers(t, append(inARow(6, ends...), inARow(8, "half a head", "half a list")...),
+		append(append(inARow(6, ends...), inARow(8, "busy", "reset", "half a list, reset")...), allFaults()[:6]))
+}
+
+// Six and eight answers in a row that take longer together than is left, and faults of all kinds, in a fixed order and back.
+func TestNoRequestToADrainBehindManyAnswersThatTakeLong(t *testing.T) {
+	t.Parallel()
+	mixed, back := allFaults(), allFaults()
+	slices.Reverse(back)
+	long := append(inARow(6, "silent", "head only", "a list in drips"), mixed, back[:6], back)
+	long = append(long, inARow(8, "silent", "head only", "a list in drips")...)
+	playFaultyAnswers(t, append(append(inARow(8, "busy", "reset", "half a list, reset"), mixed[:6]), long...),
+		append(inARow(8, "half a head", "half a list"), long...))
+}
+
+// A discovery that plainly is down can tell nothing: the last list serves until it is back.
+func TestServiceGoesOnByTheLastListWhileDiscoveryIsDown(t *testing.T) {
+	t.Parallel()
+	const down = 12 * time.Second
+	playLease(t, func(trial *leaseTrial) {
+		trial.timeout = longTimeout
+		var refusing, busy []*leaseSidecar
+		for _, fleet := range []int{1, 40} {
+			refusing = append(refusing, trial.sidecar(fmt.Sprintf("connections refused, fleet of %d", fleet), fleet, nil))
+			busy = append(busy, trial.sidecar(fmt.Sprintf("503 at once, fleet of %d", fleet), fleet, nil))
+		}
+		trial.begin()
+		ended := time.Now()
+		for _, s := range refusing {
+			s.discoveries[0].goAway()
+		}
+		for _, s := range busy {
+			s.discoveries[0].set(trial.list(1, true), slices.Repeat([]string{"busy"}, 1000)...)
+			s.discoveries[0].endWatches()
+		}
+		time.Sleep(time.Until(ended.Add(down)))
+		back := time.Now()
+		for _, s := range trial.sidecars {
+			s.discoveries[0].set(trial.list(2, false))
+		}
+		for _, s := range refusing {
+			s.discoveries[0].listen(trial.T)
+		}
+		over := back.Add(notifiedAfterReturn + drainGrace + socketSlack)
+		time.Sleep(time.Until(over.Add(longTimeout + answerGrace)))
+		for _, s := range trial.sidecars {
+			s.expectServed(ended, over)
+			s.expectDrainKept(back, notifiedAfterReturn, s.discoveries[0])
+			s.awaitVersion(2)
+		}
+	})
+}
+
+// A discovery that takes calls and never answers stops service for a bounded time at most, and no request by it.
+func TestServiceComesBackWhileDiscoveryIsSilent(t *testing.T) {
+	t.Parallel()
+	const silent, stoppedMost = 15 * time.Second, 12 * time.Second
+	playLease(t, func(trial *leaseTrial) {
+		for _, fleet := range []int{1, 40} {
+			for _, fault := range []string{"silent", "head only"} {
+				s := trial.sidecar(fmt.Sprintf("%s, fleet of %d", fault, fleet), fleet, nil)
+				s.script = slices.Repeat([]string{fault}, 1000)
+			}
+		}
+		trial.begin()
+		ended := time.Now()
+		for _, s := range trial.sidecars {
+			s.discoveries[0].set(trial.list(1, true), s.script...)
+			s.discoveries[0].endWatches()
+		}
+		over := ended.Add(silent)
+		time.Sleep(time.Until(over))
+		for _, s := range trial.sidecars {
+			s.discoveries[0].set(trial.list(2, false))
+		}
+		time.Sleep(leaseTimeout + answerGrace)
+		for _, s := range trial.sidecars {
+			s.expectAnswered(ended, over)
+			s.expectServed(ended.Add(stoppedMost), over)
+			s.awaitVersion(2)
+		}
+	})
+}
