Test of ended watches waits until each sidecar has a watch open

A start file alone gives a sidecar version 1, and one of a fleet of 40 makes its first call up to 2 s after its start: in 4 of 5 plays one of four such sidecars had no watch yet that could end, so no change counted 2 s later. The test now waits until discovery has taken each sidecar's first call in hand; bounds are as they were.

--- a/cmd/lynxjunction/drain_lease_test.go
+++ b/cmd/lynxjunction/drain_lease_test.go
@@ -132,8 +132,9 @@
 	timeout   time.Duration // that requests name
 	mu        sync.Mutex
 	lastDrain map[string]time.Time // request to the endpoint that drains, by sidecar's id
-	heldUp    time.Duration        // longest time for which the test's own process had no core
-	broken    []string             // what was expected and not so
+	began     time.Time
+	heldUp    time.Duration // longest time for which the test's own process had no core
+	broken    []string      // what was expected and not so
 }
 
 // playLease plays a trial and reports what was broken. Where the test's own process was held up meanwhile, so that neither the times that
@@ -182,7 +183,7 @@
 }
 
 func newLeaseTrial(t *testing.T) *leaseTrial {
-	l := &leaseTrial{world: &world{T: t}, timeout: leaseTimeout, lastDrain: map[string]time.Time{}}
+	l := &leaseTrial{world: &world{T: t}, began: time.Now(), timeout: leaseTimeout, lastDrain: map[string]time.Time{}}
 	l.endpoints[0] = l.serve(func(rw http.ResponseWriter, r *http.Request) {
 		id, _, _ := strings.Cut(r.Header.Get("Request-Id"), "-")
 		l.mu.Lock()
@@ -229,7 +230,7 @@
 // begin waits until all sidecars have heard their first list, and has requests sent to them.
 func (l *leaseTrial) begin() {
 	for _, s := range l.sidecars {
-		s.awaitVersion(1)
+		s.awaitWatch()
 		s.load()
 	}
 	over := make(chan struct{})
@@ -308,6 +309,13 @@
 	}, 20*time.Second, 10*time.Millisecond, "%s hears list %d", s.name, version)
 }
 
+// awaitWatch waits until discovery has taken its first call in hand; its start file alone tells it version 1 too.
+func (s *leaseSidecar) awaitWatch() {
+	s.awaitVersion(1)
+	require.Eventually(s.trial, func() bool { return len(s.discoveries[0].since(s.trial.began)) > 0 }, 20*time.Second, 10*time.Millisecond,
+		"%s opens its watch", s.name)
+}
+
 // load sends requests at a steady pace until the test ends, whatever becomes of them.
 func (s *leaseSidecar) load() {
 	var all sync.WaitGroup
