A lease on the list: no attempt begins by a list that nothing vouches for any more

Cause: a sidecar went on sending by its last list for as long as no other came, and relied on a call to discovery being answered before a missed change counts as notified. Nothing knew when that was.

Change: logic/lease.go keeps the nearest deadline that is owed after a watch's end, a new configuration or a start. From there on (less 0.25 s of the grace, for a process that stands still) no attempt begins until a list is heard, for 3.5 s at most, if a call has shown that discovery can be reached: taken in and not refused for 0.3 s, or an answer begun. While it can't be, the last list serves as before: a refusal after a wait, or four at once in a row, begins the time anew. Requests wait meanwhile and go out with the list, or get 503.

The 2 s behind a watch count where its service ended it, not where it was reset.

--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -26,6 +26,7 @@
 	listCalls, listOutages, longestOutageMs                                             atomic.Int64
 	listCallsFurther                                                                    atomic.Int64 // made while another was open
 	listCallsRefused                                                                    atomic.Int64
+	suspensions, suspendedMs                                                            atomic.Int64 // by the end of the lease on the list
 	acceptErrors                                                                        atomic.Int64
 	listCallsFailed                                                                     [callStages]atomic.Int64
 	streams, streamsBroken                                                              atomic.Int64
@@ -85,7 +86,8 @@
 		{"standstills", &c.standstills}, {"standstill_ms", &c.standstillMs}, {"lists", &c.lists}, {"lists_lost", &c.listLost},
 		{"list_version", &c.listVersion}, {"list_endpoints", &c.endpoints},
 		{"list_calls", &c.listCalls}, {"list_calls_beside_an_open_one", &c.listCallsFurther},
-		{"list_calls_refused", &c.listCallsRefused}, {"accept_errors", &c.acceptErrors}, {"list_outages", &c.listOutages}, {"list_outage_longest_ms", &c.longestOutageMs},
+		{"list_calls_refused", &c.listCallsRefused}, {"accept_errors", &c.acceptErrors}, {"lease_suspensions", &c.suspensions}, {"lease_suspended_ms", &c.suspendedMs},
+		{"list_outages", &c.listOutages}, {"list_outage_longest_ms", &c.longestOutageMs},
 		{"endpoints_avoided", &c.avoided}, {"console_calls", &c.consoleCalls},
 		{"messages_told", &c.messagesTold}, {"messages_heard", &c.messagesHeard}, {"messages_lost", &c.messagesLost},
 		{"reloads", &c.reloads}, {"reload_faults", &c.reloadFaults},
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -30,6 +30,8 @@
 	lateReads = 16
 	lateRead  = beat / 200
 	dialLast  = beat // connections may come up late; the next call does not wait for this one
+	// takenInAfter is when a call counts as taken in by discovery that was sent and is not refused.
+	takenInAfter = 300 * time.Millisecond
 
 	// A change counts as notified so long after discovery had it and could be reached, whatever failed before; after a new
 	// configuration; after a watch ended in place of telling, as a long poll does. The module keeps these as deadlines.
@@ -394,7 +396,12 @@
 	d.calls[number] = openCall{began: c.Began, moves: d.moves, stop: stop}
 	go func() {
 		defer stop()
-		c.Cause = d.follow(ctx, after, c, func(i inventory) { post(listing{inventory: i, watch: number}) })
+		reached := func(answering bool) {
+			if ctx.Err() == nil {
+				post(listReached{watch: number, answering: answering})
+			}
+		}
+		c.Cause = d.follow(ctx, after, c, reached, func(i inventory) { post(listing{inventory: i, watch: number}) })
 		if ctx.Err() == nil {
 			c.Took = time.Since(c.Began)
 			post(listLost{watch: number, cause: c})
@@ -455,8 +462,8 @@
 }
 
 // follow hands on each line of one watch until it ends; a watch that says nothing for over a beat has ended. How far it came
-// is noted in c.
-func (d *lists) follow(ctx context.Context, after int64, c *callError, each func(inventory)) (err error) {
+// is noted in c; reached is told that discovery has taken the call in, and that its answer has begun.
+func (d *lists) follow(ctx context.Context, after int64, c *callError, reached func(answering bool), each func(inventory)) (err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
 			err = fmt.Errorf("panic in the watch: %v", fault)
@@ -478,6 +485,8 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", ask, c.Addr); err != nil {
 		return err
 	}
+	takenIn := time.AfterFunc(takenInAfter, func() { reached(false) })
+	defer takenIn.Stop()
 	most := &io.LimitedReader{R: conn, N: listMost} // bounds a head or a line without end
 	got, err := http.ReadResponse(bufio.NewReader(most), nil)
 	if err != nil {
@@ -486,6 +495,7 @@
 	if got.StatusCode != http.StatusOK {
 		return statusError(got.Status)
 	}
+	reached(true)
 	c.Stage = awaitingList
 	var parser fastjson.Parser
 	var said words
--- a/internal/sidecar/discovery_outage.go
+++ b/internal/sidecar/discovery_outage.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"syscall"
 	"time"
 
@@ -72,6 +73,12 @@
 		errors.Is(e.Cause, io.EOF) || errors.Is(e.Cause, io.ErrUnexpectedEOF)
 }
 
+// orderly tells that a running service ended the call, in good order or with what is no list, and not the network.
+func (e *callError) orderly() bool {
+	var network net.Error
+	return !errors.As(e.Cause, &network)
+}
+
 // MarshalLogObject writes the call as fields, for the log.
 func (e *callError) MarshalLogObject(to zapcore.ObjectEncoder) error {
 	to.AddString("addr", e.Addr)
--- a/internal/sidecar/list_events.go
+++ b/internal/sidecar/list_events.go
@@ -22,6 +22,10 @@
 		watch int
 		cause error // a *callError, unless the process itself gave the watch up
 	}
+	listReached struct { // discovery has taken a call in, or begins to answer it
+		watch     int
+		answering bool
+	}
 	moved struct{ discovery string } // the configuration names another
 )
 
@@ -39,7 +43,7 @@
 	defer func() {
 		if !whole { // a panic between the list's start and its end: half of it is no list to go by
 			l.list.again()
-			l.module.ListLost(0)
+			l.module.ListLost(0, false)
 		}
 	}()
 	e.full = e.full && !older
@@ -62,7 +66,7 @@
 	e.publish(l)
 	if whole = true; older && first {
 		l.list.again()
-		l.module.ListLost(0)
+		l.module.ListLost(0, false)
 	}
 }
 
@@ -131,6 +135,12 @@
 	l.changed()
 }
 
+func (e listReached) happen(l *loop) {
+	if call, open := l.list.calls[e.watch]; open && call.moves == l.list.moves {
+		l.module.ListReached(e.answering)
+	}
+}
+
 func (e listLost) happen(l *loop) {
 	now := time.Now()
 	call, open := l.list.calls[e.watch]
@@ -162,7 +172,7 @@
 	l.log.Log(level, "watch ended", zap.Error(e.cause), zap.Bool("had_told", ended), zap.Float64("lasted_ms", milliseconds(now.Sub(failed.Began))))
 	switch {
 	case ended:
-		l.module.ListLost(millis(failed.silentFor()))
+		l.module.ListLost(millis(failed.silentFor()), failed.orderly())
 	case failed.refused():
 		l.counters.listCallsRefused.Add(1)
 		l.module.ListRefused(millis(failed.Took))
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -137,6 +137,7 @@
 	held      atomic.Int64 // exchanges without an answer
 	loaded    atomic.Bool
 	heard     atomic.Bool // a watch has told a list
+	suspended atomic.Bool // the lease on the list has ended: no attempt begins
 	up        *upstream
 	list      *lists
 	hands     *hands.Hands
@@ -147,14 +148,15 @@
 		events []event
 		some   chan struct{}
 	}
-	news      chan struct{} // held by what discovery said and is not booked
-	changes   atomic.Uint64 // of what is known of endpoints and discovery
-	onChange  atomic.Pointer[func()]
-	published logic.Millis // when the module's view was last left for others to read
-	probes    int          // that are out
-	counters  *Counters
-	log       *zap.Logger
-	ctx       context.Context
+	news        chan struct{} // held by what discovery said and is not booked
+	suspendedAt time.Time
+	changes     atomic.Uint64 // of what is known of endpoints and discovery
+	onChange    atomic.Pointer[func()]
+	published   logic.Millis // when the module's view was last left for others to read
+	probes      int          // that are out
+	counters    *Counters
+	log         *zap.Logger
+	ctx         context.Context
 }
 
 // newLoop starts the module, which may ask for timers and the watch at once; the disk's list comes before all else.
@@ -208,6 +210,7 @@
 		}
 		l.first()
 		l.due()
+		l.followLease()
 		l.publish()
 		if len(l.timers) > 0 {
 			wake.Reset(max(span(l.timers[0].at-l.clock()), 0))
@@ -266,6 +269,20 @@
 	}
 }
 
+// followLease keeps attempts that are still dialling from beginning while the lease on the list is over, and counts those times.
+func (l *loop) followLease() {
+	suspended := l.module.Suspended()
+	if l.suspended.Swap(suspended) == suspended {
+		return
+	}
+	if now := time.Now(); suspended {
+		l.suspendedAt = now
+		l.counters.suspensions.Add(1)
+	} else {
+		l.counters.suspendedMs.Add(now.Sub(l.suspendedAt).Milliseconds())
+	}
+}
+
 func (l *loop) tick() {
 	l.now = l.clock()
 	l.module.At(l.now)
@@ -481,7 +498,7 @@
 	}
 	g := &leg{sent: l.now, giveUp: time.Now().Add(span(giveUpAfter)), request: &x.request, to: l.up.find(to)}
 	l.schedule(x, g)
-	g.of = x
+	g.of, g.suspended = x, &l.suspended
 	g.ctx, g.cancel = context.WithCancel(l.ctx)
 	n := logic.LegNo(len(x.legs))
 	x.legs = append(x.legs, g)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -58,6 +58,7 @@
 	never     bool                      // it is known not to have run
 	of        *exchange                 // nil for none
 	moot      atomic.Bool               // its exchange is over
+	suspended *atomic.Bool              // the lease on the list has ended; nil for never
 	quit      atomic.Pointer[context.CancelFunc]
 	bound     bool      // its product may be sent to some places and kinds of machine only
 	place     [2]string // zone and kind of its endpoint when it was chosen
@@ -92,6 +93,7 @@
 	errOver      = errors.New("its exchange was over before the first byte")
 	errPlace     = errors.New("its endpoint's zone or kind changed before the first byte")
 	errNobody    = errors.New("its client had left before the first byte")
+	errLease     = errors.New("the lease on the list ended before the first byte")
 )
 
 // mayBegin is asked in the instant before a leg's first byte, the last in which it can be kept back. Whatever was told
@@ -104,6 +106,8 @@
 		return failed(writing, errOver, true)
 	case g.of.deserted():
 		return failed(writing, errNobody, true)
+	case g.suspended != nil && g.suspended.Load():
+		return &legError{reach: writing, outcome: logic.NotSent, cause: errLease}
 	case g.bound && g.to.stands() != g.place:
 		return failed(writing, errPlace, false)
 	case !g.to.takes(k.addr):
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -256,6 +256,10 @@
 		{"out by hand while it dials", 100, func(u *upstream, g *leg) {
 			held(u, func() { u.byHand("s", true) })
 		}, logic.NoConnection},
+		{"the lease on the list ends while it dials", 100, func(u *upstream, g *leg) {
+			g.suspended = &atomic.Bool{}
+			held(u, func() { g.suspended.Store(true) })
+		}, logic.NotSent}, // it says nothing of the endpoint
 		{"its mark is forgotten while it dials", 100, func(u *upstream, g *leg) {
 			g.beginLast = time.Now().Add(time.Millisecond)
 			held(u, func() { time.Sleep(time.Until(g.beginLast) + time.Millisecond) })
--- a/internal/virtual/golden_days_test.go
+++ b/internal/virtual/golden_days_test.go
@@ -314,7 +314,7 @@
 		at(seconds, func() {
 			if i.watching {
 				i.watching, i.sidecar.asking = false, false
-				i.ListLost(0)
+				i.ListLost(0, false)
 			}
 		})
 	}
@@ -359,7 +359,7 @@
 func (i *instance) ListFailed() {
 	if i.watching {
 		i.watching = false
-		i.ListLost(0)
+		i.ListLost(0, false)
 		return
 	}
 	i.Balancer.ListFailed()
--- a/logic/discovery.go
+++ b/logic/discovery.go
@@ -112,6 +112,7 @@
 	if !b.mustAsk {
 		return
 	}
+	b.startLease(t)
 	if b.calls.bounds.Reached > 0 {
 		b.owe(owedReached, b.now+b.calls.bounds.Reached)
 		if t.TakesOver {
@@ -268,6 +269,7 @@
 // noteRefusal keeps what a refusal tells of discovery's queue and of when it could be reached.
 func (b *Balancer) noteRefusal(after Millis) {
 	c := &b.calls
+	b.leaseRefused(after >= waitRefused)
 	if after >= waitRefused {
 		c.longestRefused = max(c.longestRefused, after)
 		return
@@ -288,10 +290,12 @@
 	c.longest, c.shortest = max(took, c.longest*latencyFade), min(took, c.shortest)
 	c.refusals, c.longestRefused = 0, 0
 	c.owed, c.due = [deadlines]Millis{}, Millis(math.Inf(1))
+	b.leaseHeard()
 }
 
-// ListLost says that the watch in force has ended, so long after it was last heard.
-func (b *Balancer) ListLost(silentFor Millis) {
+// ListLost says that the watch in force has ended, so long after it was last heard. Orderly is that its service ended it, in place
+// of a connection that broke or fell silent.
+func (b *Balancer) ListLost(silentFor Millis, orderly bool) {
 	if !b.mustAsk {
 		return
 	}
@@ -301,6 +305,7 @@
 	b.askWait = b.askFirst
 	spread := min(Millis(reopenSpread+reopenSpreadFleet*(1-b.roomLeast)), b.askFirst, b.left(owedReached)*reopenShare)
 	b.callAfter(spread * Millis(b.chance()))
+	b.leaseWatchEnded(silentFor, orderly)
 }
 
 // ListMoved says that a new configuration names another discovery. What the one before failed is not held against it.
@@ -310,6 +315,7 @@
 	}
 	b.calls.watching, b.calls.open = false, 0
 	b.calls.refusals, b.calls.longestRefused = 0, 0
+	b.leaseMoved()
 	b.owe(owedMoved, b.now+b.calls.bounds.Moved)
 	b.calls.owed[owedMovedLast] = b.now + b.calls.bounds.Moved
 	b.askWait = b.askFirst
--- a/logic/discovery_capacity_test.go
+++ b/logic/discovery_capacity_test.go
@@ -208,7 +208,7 @@
 	for _, p := range d.processes {
 		p.heard = false
 		p.b.At(d.now)
-		p.b.ListLost(0)
+		p.b.ListLost(0, false)
 	}
 }
 
--- a/logic/discovery_crowd_test.go
+++ b/logic/discovery_crowd_test.go
@@ -109,7 +109,7 @@
 		d.after(Millis(11*n%100), func() {
 			s.heard, s.faulty, s.since = false, faults, d.now
 			s.b.At(d.now)
-			s.b.ListLost(0)
+			s.b.ListLost(0, false)
 		})
 	}
 	return d.heardAfter()
--- a/logic/discovery_test.go
+++ b/logic/discovery_test.go
@@ -117,24 +117,24 @@
 
 				c = started()
 				from = c.happens(order)
-				c.b.ListLost(0)
+				c.b.ListLost(0, false)
 				hears(c, "a watch that ended", from, 6000)
 
 				c = started()
 				from = c.happens(order)
-				c.b.ListLost(2500)
+				c.b.ListLost(2500, false)
 				hears(c, "a watch that fell silent", from-2500, 6000)
 
 				c = started()
 				c.happens(down)
-				c.b.ListLost(0)
+				c.b.ListLost(0, false)
 				c.playUntil(c.now + 9000 + Millis(37*n))
 				from = c.happens(order)
 				hears(c, "discovery back after a while", from, 6000)
 
 				c = started()
 				c.happens(down)
-				c.b.ListLost(0)
+				c.b.ListLost(0, false)
 				c.playUntil(c.now + 9000 + Millis(37*n))
 				from = c.happens(order)
 				c.version++
@@ -187,7 +187,7 @@
 				c := newListCaller(Terms{Seed: seed, Fleet: fleet, AskWithin: 10000})
 				c.playUntil(20000)
 				from := c.happens([]callFate{fate})
-				c.b.ListLost(0)
+				c.b.ListLost(0, false)
 				c.playUntil(from + 10000)
 				assert.LessOrEqual(t, c.heard-from, Millis(2300), "fleet of %d, %s: calls at %v", fleet, fate.name, c.calls)
 			}
@@ -201,7 +201,7 @@
 	c := newListCaller(Terms{Fleet: 6, AskWithin: 10000})
 	c.playUntil(20000)
 	c.happens(nil)
-	c.b.ListLost(0)
+	c.b.ListLost(0, false)
 	c.playUntil(c.now + 5000)
 	assert.Len(t, c.calls, 1, "one call is enough")
 	c.happens(nil)
@@ -216,11 +216,11 @@
 	assert.NotEqual(t, Millis(-1), c.heard)
 	slow := callFate{lasts: 2400, answers: true}
 	c.happens([]callFate{slow, slow, slow, slow})
-	c.b.ListLost(0)
+	c.b.ListLost(0, false)
 	c.playUntil(c.now + 9000)
 	first := len(c.calls)
 	c.happens([]callFate{slow, slow, slow, slow})
-	c.b.ListLost(0)
+	c.b.ListLost(0, false)
 	c.playUntil(c.now + 9000)
 	assert.Less(t, len(c.calls), first, "a crowded discovery gets fewer calls")
 }
@@ -234,7 +234,7 @@
 		silent[n] = silentCall
 	}
 	from := c.happens(silent)
-	c.b.ListLost(0)
+	c.b.ListLost(0, false)
 	c.playUntil(from + 60000)
 	for n, at := range c.calls {
 		open := 0
@@ -255,7 +255,7 @@
 		c := newListCaller(Terms{Fleet: fleet, AskWithin: 125, SoleCaller: true})
 		c.playUntil(20000)
 		from := c.happens([]callFate{silentCall, silentCall})
-		c.b.ListLost(0)
+		c.b.ListLost(0, false)
 		c.playUntil(from + 10000)
 		assert.LessOrEqual(t, c.heard-from, furtherSoon+furtherSpacing+500, "fleet of %d: calls at %v", fleet, c.calls)
 	}
@@ -295,7 +295,7 @@
 		d.b.ListEnds(false)
 		d.b.ListHeard(5)
 		d.calls, d.refusals = nil, refusals
-		d.b.ListLost(0)
+		d.b.ListLost(0, false)
 		d.playUntil(d.now + 9000)
 		open := d.calls[refusals]
 		next := d.calls[refusals+1]
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -590,7 +590,7 @@
 
 // gate holds every rule that a leg must keep.
 func (b *Balancer) gate(x *exchange, e *endpoint) bool {
-	if !e.running || !e.open[x.product.place] || len(x.legs) >= b.maxLegs || x.horizon <= b.now ||
+	if b.lease.suspended || !e.running || !e.open[x.product.place] || len(x.legs) >= b.maxLegs || x.horizon <= b.now ||
 		len(x.legs) > 0 && (x.spent || !b.extra.allows(b.now)) {
 		return false
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -87,6 +87,7 @@
 	now, timeOff, advice, askWait, askFirst, askMost, cold, fall, beat, slack, lasting, startOff, recall, warmFor Millis
 
 	calls discoveryCalls
+	lease lease
 
 	// The list. banned: out by hand; back: when that ended, for it counts as started then.
 	endpoints, ready []*endpoint
@@ -273,6 +274,8 @@
 		b.pulse()
 	case t == 1:
 		b.callDue()
+	case t == leaseTimer:
+		b.reviewLease()
 	case t&15 == 2 && place < len(b.places):
 		x := b.places[place]
 		if x.next != nil && x.turn == uint32(t>>8) {
--- a/logic/types.go
+++ b/logic/types.go
@@ -105,8 +105,9 @@
 	AskWithin               Millis
 	LongestWait             Millis // between a call for the list that failed and the next; 0 where nothing bounds it
 	Notified                NotificationBounds
-	TakesOver               bool // of another process, whose watch ends with it
-	SoleCaller              bool // discovery serves this process alone, as an agent beside it does
+	DrainGrace              Millis // for which an endpoint that drains may still be sent to
+	TakesOver               bool   // of another process, whose watch ends with it
+	SoleCaller              bool   // discovery serves this process alone, as an agent beside it does
 	Cold, Fall              Millis
 	ColdFrom, FallMultiple  float64
 	CrossPrice              float64
