What a new process is handed and what a sibling tells is written by one function

Cause: the first part of a list stood twice, in the hand-over (upgrade.go) and in what siblings tell (sibling.go), with the same keys, so that a key added to one could be missing from the other. Ruled out: a function of its own for the first part; the hand-over is the case of one part, since a list that does not fit is not handed over.

parts takes the most entries of a part; the hand-over takes its only one. The keys and values on the line are as they were; in the hand-over their order in the object changed, which neither reader looks at. TestWireFormOfKnowledge pins both forms; it passed on the code before as well.

--- a/internal/sidecar/sibling.go
+++ b/internal/sidecar/sibling.go
@@ -19,7 +19,7 @@
 // fromSibling is the number of no call: that of lists which another process of this sidecar tells.
 const fromSibling = -1
 
-// partMostEntries bounds the entries in one line, so that no list is too long for a line.
+// partMostEntries bounds the entries in one line that a sibling tells, so that no list is too long for a line.
 const partMostEntries = 500
 
 // knowledge is what a process was told of endpoints and of discovery.
@@ -65,11 +65,11 @@
 	}
 }
 
-// parts writes knowledge as objects of a bounded size, the last of which lacks "more".
-func (k knowledge) parts(a *fastjson.Arena) (parts []*fastjson.Value) {
+// parts writes knowledge as objects of so many entries at most, in discovery's form; the last of them lacks "more".
+func (k knowledge) parts(a *fastjson.Arena, most int) (parts []*fastjson.Value) {
 	rest := k.servers
 	for {
-		some := rest[:min(len(rest), partMostEntries)]
+		some := rest[:min(len(rest), most)]
 		rest = rest[len(some):]
 		part := encode(a, inventory{version: k.version, servers: some})
 		part.Set("discovery", a.NewString(k.discovery))
--- a/internal/sidecar/sibling_test.go
+++ b/internal/sidecar/sibling_test.go
@@ -147,7 +147,7 @@
 	var a fastjson.Arena
 	var got knowledge
 	texts := [][]byte{}
-	for _, part := range k.parts(&a) {
+	for _, part := range k.parts(&a, partMostEntries) {
 		texts = append(texts, part.MarshalTo(nil))
 	}
 	require.Len(t, texts, 3)
@@ -161,6 +161,33 @@
 	assert.Error(t, err)
 }
 
+// A process of another release must read the list that it is handed and the one that a sibling tells.
+func TestWireFormOfKnowledge(t *testing.T) {
+	r := begin(t, known(newStandIn(t, say(fine, true))), withConsole(""))
+	assert.Eventually(t, func() bool { return r.loop.loaded.Load() }, 5*time.Second, time.Millisecond)
+	var discovery string
+	inLoop(r, func(l *loop) {
+		l.list.endCalls()
+		l.list.current.end()
+		listing{inventory: inventory{version: 10, full: true, servers: []entry{inService("a", 700)}}, fromDisk: true}.happen(l)
+		l.list.current, l.list.reloaded, discovery = watch{number: 99}, 5*time.Second, l.list.addr
+		l.list.drained = map[logic.EndpointID]drain{"gone": {version: 9, started: 300}}
+	})
+	defer inLoop(r, func(l *loop) { l.list.current = watch{} })
+	want := fmt.Sprintf(`{"version":10,"servers":[{"id":"a","addr":"127.0.0.1:1","zone":"a","kind":"","cell":0,"state":"in_service","weight":1,"started_ms":700}],
+		"first":true,"drained":[{"id":"gone","version":9,"started_ms":300}],"by_hand":[],"discovery":%q,"reloaded_ns":5000000000,"following":true}`, discovery)
+	handed := fastjson.MustParseBytes((&pair{front: r.front}).heritage())
+	assert.JSONEq(t, want, string(handed.Get("list").MarshalTo(nil)))
+	k, err := r.loop.knowledge(5 * time.Second)
+	require.NoError(t, err)
+	var a fastjson.Arena
+	parts := k.parts(&a, partMostEntries)
+	require.Len(t, parts, 1)
+	assert.JSONEq(t, want, string(parts[0].MarshalTo(nil)))
+	k.byHand = []hands.Wish{{ID: "s0", Out: true, Base: 4, At: 77}}
+	assert.JSONEq(t, `[{"id":"s0","out":true,"base":4,"at_ns":77}]`, string(k.byHandList(&a).MarshalTo(nil)))
+}
+
 // Two processes on the two ends of a line, and a third that comes while the first still ends: what one is told all know, in both
 // directions, and the third is handed what the second knows.
 func TestNewsPassesAlongThreeProcesses(t *testing.T) {
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -424,7 +424,7 @@
 	var told uint64
 	if p.front.loop.changes.Load() != other.told {
 		if k, err := p.front.loop.knowledge(tellLast / 4); err == nil {
-			parts, told = k.parts(&a), k.change
+			parts, told = k.parts(&a, partMostEntries), k.change
 		}
 	}
 	if len(parts) == 0 {
@@ -555,14 +555,7 @@
 	v.Set("ever", texts(ever))
 	// A list that does not fit is told in parts, once the line is joined.
 	if k, err := p.front.loop.knowledge(inheritTime / 3); err == nil && len(k.servers) <= heritageMost {
-		list := encode(&a, k.inventory)
-		list.Set("first", a.NewTrue())
-		list.Set("drained", k.drainedList(&a))
-		list.Set("by_hand", k.byHandList(&a))
-		list.Set("discovery", a.NewString(k.discovery))
-		list.Set("reloaded_ns", a.NewNumberString(strconv.FormatInt(int64(k.reloaded), 10)))
-		list.Set("following", boolean(&a, k.following))
-		v.Set("list", list)
+		v.Set("list", k.parts(&a, heritageMost)[0])
 	}
 	return v.MarshalTo(nil)
 }
