lab run keeps start files and logs when a rule is broken

Now they are kept after a broken rule too, and the last line of the output names the folder, in a pipe as well. A comparison of two builds, which may break rules many times, removes them as before.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -47,7 +47,8 @@
 	program, other, out, policy string
 	virtual                     bool
 	seed                        uint64
-	keep                        bool
+	keep                        bool   // start files and logs, when a rule is broken too
+	kept                        string // their folder, if they were kept
 }
 
 func root() *cobra.Command {
@@ -142,12 +143,21 @@
 		out = filepath.Join("found", name+"-"+time.Now().Format("20060102T150405"))
 	}
 	say := progress(c.ErrOrStderr())
+	h.keep = true
 	book, result, err := h.play(c.Context(), s, say)
+	defer func() {
+		if h.kept != "" {
+			fmt.Fprintln(c.OutOrStdout(), "start files and logs:", h.kept)
+		}
+	}()
 	if book == nil {
 		return err
 	}
 	r := summary(s, book, result)
 	r.Scenario = string(text)
+	if h.kept != "" {
+		r.Facts = append(r.Facts, [2]string{"start files and logs", h.kept})
+	}
 	r.Facts = append([][2]string{{"seed", fmt.Sprint(s.Seed)}, {"revision", revision()}, {"program", h.what()}}, r.Facts...)
 	if err != nil {
 		r.Verdict = "FAILED: " + strings.SplitN(err.Error(), "\n", 2)[0]
@@ -183,7 +193,8 @@
 	return filepath.Base(h.program) + ", processes on loopback"
 }
 
-// play returns the accounts. With processes, start files and logs go to a folder that is removed when all went well.
+// play returns the accounts. With processes, start files and logs go to a folder that is removed when all went well, and in a
+// comparison when rules were broken.
 func (h *how) play(ctx context.Context, s *scenario.Scenario, say func(float64, string)) (*records.Book, *rig.Result, error) {
 	if h.virtual {
 		maker := virtual.Baselines[h.policy]
@@ -206,7 +217,8 @@
 	}
 	r := &rig.Rig{Program: h.program, Other: h.other, Dir: dir, Say: say}
 	result, err := r.Run(ctx, s)
-	if err != nil {
+	if err != nil || h.keep && len(result.Broken) > 0 {
+		h.kept = dir
 		say(0, "start files and logs: "+dir)
 	} else {
 		os.RemoveAll(dir)
--- a/cmd/lab/main_test.go
+++ b/cmd/lab/main_test.go
@@ -95,3 +95,44 @@
 		assert.NotContains(t, err.Error(), "\n")
 	}
 }
+
+// brokenRun plays a rehearsal of three seconds with a program that goes on sending to what drains.
+func brokenRun(t *testing.T) (out string, err error) {
+	program := filepath.Join(t.TempDir(), "lynxjunction")
+	text, err := exec.Command("go", "build", "-tags", "seeded", "-o", program, "../lynxjunction").CombinedOutput()
+	require.NoError(t, err, string(text))
+	path := filepath.Join(t.TempDir(), "broken.toml")
+	require.NoError(t, os.WriteFile(path, []byte(`length_s = 3
+[fleet]
+sidecars = 1
+rate = 50
+[[endpoints]]
+name = "e"
+count = 2
+[[products]]
+name = "look"
+effect = "replayable"
+expected_ms = 100
+abandon_ms = 400
+work_ms = 1
+[[faults]]
+at_s = 0.5
+what = "drain"
+who = ["e0"]
+`), 0o600))
+	t.Setenv("LYNXJUNCTION_DEFECT", "drains")
+	t.Setenv("TMPDIR", t.TempDir())
+	return lab("run", path, "--program", program, "--out", filepath.Join(t.TempDir(), "r"))
+}
+
+func TestLogsAreKeptWhenARuleIsBroken(t *testing.T) {
+	out, err := brokenRun(t)
+	require.ErrorIs(t, err, errBroken, out)
+	_, dir, named := strings.Cut(strings.TrimSpace(out), "start files and logs: ")
+	require.True(t, named, out)
+	for _, name := range []string{"s0.log", "start.json"} {
+		text, err := os.ReadFile(filepath.Join(dir, "s0", name))
+		require.NoError(t, err)
+		assert.NotEmpty(t, text, name)
+	}
+}
