Rig: watches that end in place of telling, go mute or silent; a grace for drains of a scenario's own

What they miss counts as notified 2 s after the end, and 6 s after the last word, unless discovery goes down meanwhile; a whole list tells what it does not name. drain_grace_ms stands in the start file, 1000 as before if left out. Scenarios draw what they drew.

--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -55,6 +55,10 @@
 		r.lists.delay(n, time.Duration(f.Size*float64(time.Second)))
 		r.sleep(ctx, f.Done()*1000)
 		r.lists.delay(n, 0)
+	case isWatchFault(f.What):
+		r.lists.setWatchFault(n, f.What, f.Size)
+		r.sleep(ctx, f.Done()*1000)
+		r.lists.clearWatchFault(n)
 	default:
 		var each sync.WaitGroup
 		for k, p := range who {
@@ -191,7 +195,7 @@
 			return
 		}
 		p.Process.Signal(syscall.SIGHUP)
-		r.lists.owe(s, notifiedAfterMoved, "a new configuration")
+		r.lists.owe(s, wholeList, notifiedAfterMoved, "a new configuration")
 	case "stop":
 		p.Process.Signal(syscall.SIGSTOP)
 		r.book.Excuse(s, r.now(), until+owed, "stopped")
--- a/internal/rig/list.go
+++ b/internal/rig/list.go
@@ -3,7 +3,6 @@
 package rig
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -33,6 +32,20 @@
 	Version int      `json:"version"`
 	Full    bool     `json:"full"`
 	Servers []listed `json:"servers"`
+	unnamed []listed // out of service, and told by a whole list that does not name them
+}
+
+// wholeList stands in place of a version for a call that asks for all there is.
+const wholeList = -1
+
+// leaveOut has a whole list name only what is in service.
+func (t *telling) leaveOut() {
+	t.Servers = slices.DeleteFunc(t.Servers, func(e listed) bool {
+		if e.State != "in_service" {
+			t.unnamed = append(t.unnamed, e)
+		}
+		return e.State != "in_service"
+	})
 }
 
 type lists struct {
@@ -49,6 +62,9 @@
 	moved   map[int]bool     // sidecars whose configuration names the other address
 	spoilt  map[int]int      // calls of a sidecar that are still to be spoilt
 	queue   *callqueue.Queue // of calls while a fault leaves the service little capacity; nil for none
+
+	watchFaults map[int]watchFault // by the fault's number
+	watches     map[int]int        // calls of a sidecar that got a list
 }
 
 // queuePatience is how long a call waits at a busy service, where that refuses or drops calls that would wait longer.
@@ -63,7 +79,7 @@
 
 func (r *Rig) newLists() *lists {
 	l := &lists{rig: r, changed: make(chan struct{}), late: map[int]time.Duration{}, conns: map[net.Conn]struct{}{},
-		moved: map[int]bool{}, spoilt: map[int]int{}}
+		moved: map[int]bool{}, spoilt: map[int]int{}, watchFaults: map[int]watchFault{}, watches: map[int]int{}}
 	l.web = &http.Server{Handler: l, ErrorLog: r.webLog(), ConnState: func(c net.Conn, s http.ConnState) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -135,13 +151,14 @@
 	}
 }
 
-// owe enters what is out of service by now as told to a sidecar after a while, if the service can be reached until then.
-func (l *lists) owe(sidecar int, after time.Duration, why string) {
+// owe enters what went out of service after a version, and is out by now, as told to a sidecar after a while, if the service can be
+// reached until then.
+func (l *lists) owe(sidecar, version int, after time.Duration, why string) {
 	l.mu.Lock()
 	outages, off := l.outages, l.off > 0
 	var out []int
 	for _, e := range l.entries {
-		if e.State != "in_service" {
+		if e.State != "in_service" && e.version > version {
 			out = append(out, e.number)
 		}
 	}
@@ -166,7 +183,7 @@
 
 func (l *lists) oweAll(after time.Duration, why string) {
 	for n := range l.rig.s.Fleet.Sidecars {
-		l.owe(n, after, why)
+		l.owe(n, wholeList, after, why)
 	}
 }
 
@@ -270,7 +287,11 @@
 	defer l.mu.Unlock()
 	t = telling{Version: l.version, Full: after < 0, Servers: []listed{}}
 	for _, e := range l.entries {
-		if t.Full && e.State == "terminated" || !t.Full && e.version <= after {
+		if !t.Full && e.version <= after {
+			continue
+		}
+		if t.Full && e.State == "terminated" {
+			t.unnamed = append(t.unnamed, e)
 			continue
 		}
 		e.Addr = l.rig.addrFor(sidecar, e.number)
@@ -296,35 +317,5 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	after := -1
-	if n, err := strconv.Atoi(r.URL.Query().Get("after")); err == nil {
-		after = n
-	}
-	beat := time.NewTicker(2 * time.Second)
-	defer beat.Stop()
-	out, told := json.NewEncoder(w), false
-	for {
-		t, changed := l.since(sidecar, after)
-		if len(t.Servers) > 0 || !told {
-			if out.Encode(t) != nil {
-				return
-			}
-			w.(http.Flusher).Flush()
-			l.rig.told(sidecar, t.Servers)
-			after, told = t.Version, true
-		}
-		if r.URL.Query().Get("watch") == "" {
-			return
-		}
-		select {
-		case <-r.Context().Done():
-			return
-		case <-changed:
-		case <-beat.C:
-			if _, err := w.Write([]byte("\n")); err != nil {
-				return
-			}
-			w.(http.Flusher).Flush()
-		}
-	}
+	l.newWatch(sidecar, w, r).serve()
 }
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -29,7 +29,7 @@
 	upTime         = 60 * time.Second       // for a process to say yes, beside hundreds of others
 	grace          = 550.0                  // ms past the abandon time in which an answer is no loss
 	answerLast     = grace + 1500           // ms past the abandon time that a client waits
-	drainGrace     = 1050.0                 // ms
+	socketSlack    = 50.0                   // ms that a limit is longer on sockets
 	killAfter      = 700 * time.Millisecond // past the longest abandon time, from SIGTERM to SIGKILL
 	newClientsLast = 300 * time.Millisecond // after SIGTERM; those that are connected go on until the end
 	leaveTime      = 5 * time.Second        // from a drain until the endpoint is gone
@@ -141,7 +141,7 @@
 	if r.Say == nil {
 		r.Say = func(float64, string) {}
 	}
-	terms := records.Terms{Grace: grace, Drain: drainGrace, Free: s.Fleet.ExtraFree, Ratio: s.Fleet.ExtraRatio, LookBack: s.Fleet.LookBack * 1000,
+	terms := records.Terms{Grace: grace, Drain: s.Fleet.DrainGrace + socketSlack, Free: s.Fleet.ExtraFree, Ratio: s.Fleet.ExtraRatio, LookBack: s.Fleet.LookBack * 1000,
 		SoundShare: s.Fleet.SoundShare}
 	for _, p := range s.Products {
 		terms.Products = append(terms.Products, records.Product{Name: p.Name, Expected: p.Expected, Abandon: p.Abandon,
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -46,8 +46,9 @@
 	ExtraRatio float64  `toml:"extra_ratio"`
 	LookBack   float64  `toml:"look_back_s"` // so many for each exchange taken, within this time; 0 for no budget
 	CrossPrice float64  `toml:"cross_zone_price"`
-	AskWithin  float64  `toml:"ask_within_s"` // a change of the list counts as told after that; 4
-	SoundShare float64  `toml:"sound_share"`  // of requests to be served in time while endpoints, links and cores are sound; 0 for none
+	AskWithin  float64  `toml:"ask_within_s"`             // a change of the list counts as told after that; 4
+	DrainGrace float64  `toml:"drain_grace_ms,omitempty"` // after the telling of a drain, in which something new may still begin; 1000
+	SoundShare float64  `toml:"sound_share"`              // of requests to be served in time while endpoints, links and cores are sound; 0 for none
 }
 
 // Group is endpoints of one kind.
@@ -115,7 +116,9 @@
 	"lose":     {'l', true, 0.001, 1, "share of answers"},
 	"list-off": {'d', true, 0, 0, ""}, "list-late": {'d', true, 0.01, 600, "s"},
 	"list-busy": {'d', true, 0.05, 600, "s of work that one call of each sidecar makes together"},
-	"crowd":     {'s', true, 1, 5000, "connections to each"}, "crowd-heads": {'s', true, 1, 5000, "connections to each"},
+	"list-ends": {'d', true, 0.001, 60, "s at most from a change until a watch ends"},
+	"list-mute": {'d', true, 0.01, 1, "share of watches"}, "list-silent": {'d', true, 0.01, 1, "share of watches"},
+	"crowd": {'s', true, 1, 5000, "connections to each"}, "crowd-heads": {'s', true, 1, 5000, "connections to each"},
 	"crowd-drip": {'s', true, 1, 5000, "connections to each"}, "crowd-kept": {'s', true, 1, 5000, "connections to each"},
 	"list-spoil": {'d', false, 1, 10, "calls of each sidecar that are spoilt"}, "move": {'s', false, 0, 0, ""},
 	"maint": {'h', true, 0, 0, ""},
@@ -182,6 +185,7 @@
 	or(&f.Sockets, 512)
 	or(&f.MaxLegs, 3)
 	or(&f.AskWithin, 4)
+	or(&f.DrainGrace, 1000)
 	if len(s.Phases) == 0 {
 		s.Phases = []float64{0, s.Length}
 	}
@@ -238,6 +242,7 @@
 	within("fleet.max_legs", float64(f.MaxLegs), 1, 100)
 	within("fleet.look_back_s", f.LookBack, 0, 600)
 	within("fleet.ask_within_s", f.AskWithin, 0.5, 600)
+	within("fleet.drain_grace_ms", f.DrainGrace, 1, 60000)
 	within("fleet.sound_share", f.SoundShare, 0, 1)
 	if len(s.Endpoints) == 0 {
 		bad("endpoints", "a group of endpoints is needed")
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -58,6 +58,9 @@
 		{"abandon_ms = 400", "abandon_ms = 40", "products[0].abandon_ms: 40 is not from 100"}, {"count = 4", `count = "four"`, "t.toml:12"},
 		{`"replayable"`, `"often"`, "products[0].effect"}, {`name = "f"`, `name = "e"`, "endpoints[1].name"}, {"rate = 5", "rate = nan", "fleet.rate: NaN"},
 		{"[fleet]", "[fleet", "t.toml:4"}, {`what = "reset"`, "what = \"reset\"\nfor_s = 1", "faults[1].for_s: reset is done once"},
+		{"size = 4.0", "size = 4.0\n[[faults]]\nat_s = 1\nfor_s = 2\nwhat = \"list-mute\"\nsize = 2", "faults[1].size: 2 is not from 0.01 to 1 (share of watches)"},
+		{"size = 4.0", "size = 4.0\n[[faults]]\nat_s = 1\nfor_s = 2\nwhat = \"list-ends\"", "faults[1].size: 0 is not from 0.001 to 60"},
+		{"rate = 5", "rate = 5\ndrain_grace_ms = -1", "fleet.drain_grace_ms: -1 is not from 1 to 60000"},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
 		require.NotEqual(t, good, text, c.old)
--- a/internal/scenario/startfile.go
+++ b/internal/scenario/startfile.go
@@ -23,7 +23,7 @@
 		}
 		products = append(products, o)
 	}
-	rules := object{"ask-within": f.AskWithin * 1000, "grace-to-answer": 20.0}
+	rules := object{"ask-within": f.AskWithin * 1000, "grace-to-answer": 20.0, "drain-grace": f.DrainGrace}
 	for _, g := range s.Endpoints {
 		if g.Cold > 0 {
 			rules["cold"], rules["cold-from"] = g.Cold*1000, g.ColdFrom
--- a/internal/virtual/faults.go
+++ b/internal/virtual/faults.go
@@ -14,7 +14,7 @@
 	f := &w.s.Faults[n]
 	who, _ := w.s.Chosen(n)
 	if f.OnLink() && (f.Over != "upstream" || !slices.Contains([]string{"cut", "silent", "delay", "lose"}, f.What)) ||
-		slices.Contains([]string{"stop", "reload", "upgrade", "maint"}, f.What) {
+		slices.Contains([]string{"stop", "reload", "upgrade", "maint", "list-ends", "list-mute", "list-silent"}, f.What) {
 		return fmt.Errorf("faults[%d].what: %s %s is only there on sockets, not in virtual time", n, f.What, f.Over)
 	}
 	if f.What == "list-off" || f.What == "list-late" {
