Soak: profile lists, drains in turn before a discovery that ends its watches

12 to 40 sidecars, 1.5 to 3 s of work for a round of calls, list-ends throughout, three to eight drains or replacements, up to eight faulty answers in a row, outages, new configurations, hand-overs; a grace of 0.5 s for drains.

--- a/internal/soak/profiles.go
+++ b/internal/soak/profiles.go
@@ -17,7 +17,7 @@
 const General = "general"
 
 // profiles draw what one kind of trouble leaves of service. Endpoints and links stay sound in them, so that service is judged throughout.
-var profiles = map[string]func(d *drawing){"crowds": (*drawing).crowds, "handovers": (*drawing).handovers}
+var profiles = map[string]func(d *drawing){"crowds": (*drawing).crowds, "handovers": (*drawing).handovers, "lists": (*drawing).lists}
 
 // Profiles are the names that DrawProfile knows.
 func Profiles() []string { return append([]string{General}, slices.Sorted(maps.Keys(profiles))...) }
@@ -145,3 +145,58 @@
 		d.add(scenario.Fault{What: "drain", At: hundredth(watched + d.between(1.3, lastDrain-0.5)), Who: []string{fmt.Sprint("e", n)}})
 	}
 }
+
+// Sizes of the rehearsals that lists draws. Each sidecar has to send often enough for a leg some tens of milliseconds past the grace.
+const (
+	fewestListCallers = 12
+	mostListCallers   = 40
+	listRate          = 15.0  // requests a second of a sidecar
+	listWorkMs        = 4.0   // of a request
+	listDrainGraceMs  = 500.0 // after which a leg is late
+	mostSpoilt        = 8     // answers in a row
+)
+
+// lists has endpoints drain one after another before a discovery with little capacity to spare, which ends watches in place of telling, with
+// spoilt answers in a row, an outage, new configurations and hand-overs.
+func (d *drawing) lists() {
+	f := &d.s.Fleet
+	if f.Sidecars <= mostSidecars {
+		f.Sidecars = fewestListCallers + d.IntN(mostListCallers-fewestListCallers+1)
+	}
+	f.Rate, f.DrainGrace = listRate, listDrainGraceMs
+	for n := range d.s.Products {
+		d.s.Products[n].Work = listWorkMs
+	}
+	g := &d.s.Endpoints[0]
+	g.Count = mostEndpoints
+	d.add(scenario.Fault{What: "list-busy", For: lengthSeconds - 0.5, Size: d.between(1.5, 3)})
+	d.add(scenario.Fault{What: "list-ends", For: lengthSeconds - 0.5, Size: d.between(0.1, 2.5)})
+	d.drainsInTurn(g.Count)
+	if spoilt := d.IntN(mostSpoilt + 1); spoilt > 0 {
+		d.add(scenario.Fault{What: "list-spoil", At: d.time(8), Size: float64(spoilt)})
+	}
+	if d.chance(0.4) {
+		d.add(scenario.Fault{What: "list-off", At: d.time(6), For: d.between(0.2, 4)})
+	}
+	if d.chance(0.4) {
+		at, who := d.time(8), d.some("s", f.Sidecars, 1)
+		for n := range 1 + d.IntN(3) {
+			d.add(scenario.Fault{What: "move", At: hundredth(at + float64(n)*d.between(0.3, 1.5)), Who: who, Step: 0.02})
+		}
+	}
+	if d.chance(0.4) {
+		d.add(scenario.Fault{What: "upgrade", At: d.time(6), Who: d.some("s", 3, 1), Step: 0.1})
+	}
+}
+
+// drainsInTurn drains or replaces three to eight endpoints, from a quarter of a second to two seconds apart.
+func (d *drawing) drainsInTurn(endpoints int) {
+	at, order := d.between(1.5, 3), d.Perm(endpoints)
+	for _, n := range order[:3+d.IntN(6)] {
+		if at > lastFaultSeconds {
+			return
+		}
+		d.add(scenario.Fault{What: []string{"drain", "replace"}[d.IntN(2)], At: at, Who: []string{fmt.Sprint("e", n)}})
+		at = hundredth(at + d.between(0.25, 2))
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -141,6 +141,35 @@
 	assert.ErrorContains(t, err, "no profile")
 }
 
+// What lists draws has a discovery with little to spare that ends its watches, and between them all that can meet it.
+func TestDrawLists(t *testing.T) {
+	kinds, spoilt, callers := map[string]int{}, map[float64]bool{}, map[int]bool{}
+	for seed := range uint64(300) {
+		s, err := DrawProfile("lists", seed, false)
+		require.NoError(t, err)
+		callers[s.Fleet.Sidecars] = true
+		assert.Equal(t, 500.0, s.Fleet.DrainGrace)
+		seen := map[string]bool{}
+		for _, f := range s.Faults {
+			switch seen[f.What] = true; f.What {
+			case "list-busy":
+				assert.True(t, f.Size >= 1.5 && f.Size <= 3, f.Size)
+			case "list-spoil":
+				spoilt[f.Size] = true
+			}
+		}
+		for what := range seen {
+			kinds[what]++
+		}
+	}
+	assert.Len(t, callers, 29, "12 to 40")
+	assert.Len(t, spoilt, 8, "1 to 8 in a row")
+	assert.Equal(t, []int{300, 300}, []int{kinds["list-busy"], kinds["list-ends"]})
+	for _, what := range []string{"list-spoil", "list-off", "move", "upgrade", "drain", "replace"} {
+		assert.Greater(t, kinds[what], 80, what)
+	}
+}
+
 // What can't be played is no pass.
 func TestNotPlayedIsNoPass(t *testing.T) {
 	v := (&Player{Program: filepath.Join(t.TempDir(), "none")}).PlaySeed(t.Context(), 1)
