--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -48,6 +48,7 @@
 	virtual                     bool
 	seed                        uint64
 	keep                        bool   // start files and logs, when a rule is broken too
+	keepAll                     bool   // in any case
 	kept                        string // their folder, if they were kept
 }
 
@@ -60,6 +61,7 @@
 		c.Flags().StringVar(&h.out, "out", "", "folder for the report; found/NAME-TIME if left out")
 		c.Flags().Uint64Var(&h.seed, "seed", 0, "in place of the scenario's")
 		c.Flags().BoolVar(&h.virtual, "virtual", false, "the decisions in virtual time, without processes")
+		c.Flags().BoolVar(&h.keepAll, "keep", false, "keep start files and logs when all went well too")
 		c.Flags().StringVar(&h.policy, "policy", "lynxjunction", "in virtual time: "+policies())
 		return c
 	}
@@ -217,7 +219,7 @@
 	}
 	r := &rig.Rig{Program: h.program, Other: h.other, Dir: dir, Say: say}
 	result, err := r.Run(ctx, s)
-	if err != nil || h.keep && len(result.Broken) > 0 {
+	if err != nil || h.keepAll || h.keep && len(result.Broken) > 0 {
 		h.kept = dir
 		say(0, "start files and logs: "+dir)
 	} else {
--- a/internal/rig/list.go
+++ b/internal/rig/list.go
@@ -65,6 +65,7 @@
 
 	watchFaults map[int]watchFault // by the fault's number
 	watches     map[int]int        // calls of a sidecar that got a list
+	nextEnd     chan struct{}      // closed when the watches end that miss a change; nil while none is planned
 }
 
 // queuePatience is how long a call waits at a busy service, where that refuses or drops calls that would wait longer.
@@ -216,6 +217,9 @@
 		} else {
 			l.entries = append(l.entries, e)
 		}
+		if most := l.watchFaultLocked(watchesEnd); most > 0 {
+			l.planEnd(time.Duration(most*float64(time.Second)), l.version)
+		}
 		close(l.changed)
 		l.changed = make(chan struct{})
 		if e.State != "in_service" {
--- a/internal/rig/watch.go
+++ b/internal/rig/watch.go
@@ -20,7 +20,7 @@
 
 // Faults of watches, by their names in a scenario.
 const (
-	watchesEnd    = "list-ends"   // a change ends a watch in place of being told; whole lists leave out what drains
+	watchesEnd    = "list-ends"   // a change ends all watches some time later in place of being told; whole lists leave out what drains
 	watchesMute   = "list-mute"   // a watch goes on beating and tells no change any more
 	watchesSilent = "list-silent" // a watch says nothing any more, and its connection stays open
 )
@@ -54,6 +54,10 @@
 func (l *lists) watchFault(what string) (size float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.watchFaultLocked(what)
+}
+
+func (l *lists) watchFaultLocked(what string) (size float64) {
 	for _, f := range l.watchFaults {
 		if f.what == what {
 			size = max(size, f.size)
@@ -62,6 +66,29 @@
 	return size
 }
 
+// planEnd sets the time at which the watches end that miss a change, unless they are to end for an earlier one. The lock is held.
+func (l *lists) planEnd(most time.Duration, version int) {
+	if l.nextEnd != nil {
+		return
+	}
+	ended := make(chan struct{})
+	l.nextEnd = ended
+	share := rand.New(rand.NewPCG(l.rig.s.SeedOf(watchesEnd), uint64(version))).Float64()
+	l.rig.later(time.Duration(share*float64(most)), func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.nextEnd = nil
+		close(ended)
+	})
+}
+
+// plannedEnd is closed when the watches end that miss a change; nil if they have ended.
+func (l *lists) plannedEnd() chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.nextEnd
+}
+
 // watch is one call, and what follows its first list if it is a watch.
 type watch struct {
 	lists   *lists
@@ -113,12 +140,11 @@
 			return
 		case <-changed:
 			t, changed = w.lists.since(w.sidecar, w.after)
-			most := w.lists.watchFault(watchesEnd)
 			switch {
 			case w.isSilent():
 				w.oweAfterSilence()
-			case most > 0:
-				w.endWithin(time.Duration(most*float64(time.Second)), beat)
+			case w.lists.watchFault(watchesEnd) > 0:
+				w.endInPlaceOfTelling(beat)
 				return
 			case w.isMute() || len(t.Servers) == 0:
 			case !w.tell(t):
@@ -153,9 +179,9 @@
 	return true
 }
 
-// endWithin breaks the connection off some time after a change, in place of telling it, and goes on beating until then.
-func (w *watch) endWithin(most time.Duration, beat *time.Ticker) {
-	for end := time.After(time.Duration(w.chance(watchesEnd) * float64(most))); ; {
+// endInPlaceOfTelling goes on beating until the planned end, and breaks the connection off then.
+func (w *watch) endInPlaceOfTelling(beat *time.Ticker) {
+	for ended := w.lists.plannedEnd(); ended != nil; {
 		select {
 		case <-w.request.Context().Done():
 			return
@@ -163,11 +189,12 @@
 			if !w.beat() {
 				return
 			}
-		case <-end:
-			w.lists.owe(w.sidecar, w.after, notifiedAfterEnded, "a watch ended in place of telling it")
-			panic(http.ErrAbortHandler)
+		case <-ended:
+			ended = nil
 		}
 	}
+	w.lists.owe(w.sidecar, w.after, notifiedAfterEnded, "a watch ended in place of telling it")
+	panic(http.ErrAbortHandler)
 }
 
 // isMute tells whether a watch tells no change any more.
--- a/internal/rig/watch_test.go
+++ b/internal/rig/watch_test.go
@@ -114,6 +114,7 @@
 	assert.Equal(t, "a watch ended in place of telling it", why)
 
 	c.list(1, "terminating")
+	time.Sleep(600 * time.Millisecond) // watches have ended for it
 	w = c.watch(w.lists[0].Version, 100*time.Millisecond)
 	require.Len(t, w.lists, 1)
 	assert.True(t, w.lists[0].Full)
@@ -180,6 +181,24 @@
 	assert.Equal(t, "a watch was silent for so long", why)
 }
 
+func TestListEndsBreaksAllWatchesOffTogether(t *testing.T) {
+	t.Parallel()
+	c := newListTrial(t)
+	c.rig.lists.setWatchFault(0, watchesEnd, 1)
+	ends := make(chan float64, 10)
+	for range cap(ends) {
+		go func() { ends <- c.watch(wholeList, 10*time.Second).ended }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	changed := c.list(0, "terminating")
+	first, last := <-ends, 0.0
+	for range cap(ends) - 1 {
+		last = <-ends
+	}
+	assert.Greater(t, first, changed)
+	assert.InDelta(t, first, last, 100)
+}
+
 // Shares of watches are drawn by the seed and by how many calls of the sidecar were answered before.
 func TestWatchFaultsAreDrawnBySeed(t *testing.T) {
 	draws := func(seed uint64) (all []float64) {
