--- a/cmd/lynxjunction/drain_lease_test.go
+++ b/cmd/lynxjunction/drain_lease_test.go
@@ -51,6 +51,9 @@
 	faultyDiscovery
 	addr  string
 	queue *callqueue.Queue
+	tells bool // watches tell changes
+
+	watches []chan string
 
 	gateMu sync.Mutex
 	gate   chan struct{} // calls wait until it is closed; nil for none
@@ -75,6 +78,10 @@
 			return
 		}
 	}
+	if d.tells {
+		d.watch(rw, r)
+		return
+	}
 	d.faultyDiscovery.ServeHTTP(rw, r)
 }
 
@@ -167,9 +174,14 @@
 	listen      string
 	config      string
 	fleet       int
-	script      []string // faulty answers that it meets
+	script      []string  // faulty answers that it meets
+	endpoints   [2]string // that drains, that stays
 	discoveries [2]*leaseDiscovery
 	processes   []*leaseProcess
+	tells       bool
+	door        *lateDoor // of the endpoint that drains; nil for none
+
+	disturbances []disturbance
 
 	mu      sync.Mutex
 	answers []leaseAnswer
@@ -181,15 +193,18 @@
 	console string
 }
 
+// drains answers requests to the endpoint that drains.
+func (l *leaseTrial) drains(rw http.ResponseWriter, r *http.Request) {
+	id, _, _ := strings.Cut(r.Header.Get("Request-Id"), "-")
+	l.mu.Lock()
+	l.lastDrain[id] = time.Now()
+	l.mu.Unlock()
+	io.WriteString(rw, "hello")
+}
+
 func newLeaseTrial(t *testing.T) *leaseTrial {
 	l := &leaseTrial{world: &world{T: t}, timeout: leaseTimeout, lastDrain: map[string]time.Time{}}
-	l.endpoints[0] = l.serve(func(rw http.ResponseWriter, r *http.Request) {
-		id, _, _ := strings.Cut(r.Header.Get("Request-Id"), "-")
-		l.mu.Lock()
-		l.lastDrain[id] = time.Now()
-		l.mu.Unlock()
-		io.WriteString(rw, "hello")
-	})
+	l.endpoints[0] = l.serve(l.drains)
 	l.endpoints[1] = l.serve(func(rw http.ResponseWriter, _ *http.Request) {
 		time.Sleep(slowerWork)
 		io.WriteString(rw, "hello")
@@ -198,9 +213,9 @@
 }
 
 // list names the endpoint that stays and the one that drains, the latter only while it is in service.
-func (l *leaseTrial) list(version int, inService bool) string {
+func (s *leaseSidecar) list(version int, inService bool) string {
 	entries := []string{}
-	for n, addr := range l.endpoints {
+	for n, addr := range s.endpoints {
 		if n > 0 || inService {
 			entries = append(entries, fmt.Sprintf(`{"id":"s%d","addr":%q,"zone":"a","cell":1,"state":"in_service","weight":1,"started_ms":0}`, n, addr))
 		}
@@ -209,13 +224,16 @@
 }
 
 // sidecar starts one, with a queue of its own before its discovery or with none.
-func (l *leaseTrial) sidecar(name string, fleet int, queue *callqueue.Queue) *leaseSidecar {
-	s := &leaseSidecar{trial: l, id: fmt.Sprint("n", len(l.sidecars)), name: name, fleet: fleet, listen: ownAddress(l.T),
+func (l *leaseTrial) sidecar(name string, fleet int, queue *callqueue.Queue, options ...func(*leaseSidecar)) *leaseSidecar {
+	s := &leaseSidecar{trial: l, endpoints: l.endpoints, id: fmt.Sprint("n", len(l.sidecars)), name: name, fleet: fleet, listen: ownAddress(l.T),
 		config: filepath.Join(l.TempDir(), "start.json")}
+	for _, option := range options {
+		option(s)
+	}
 	host, _, _ := net.SplitHostPort(ownAddress(l.T))
 	for n := range s.discoveries {
-		d := newLeaseDiscovery(l.list(1, true))
-		d.addr, d.queue = net.JoinHostPort(host, "0"), queue
+		d := newLeaseDiscovery(s.list(1, true))
+		d.addr, d.queue, d.tells = net.JoinHostPort(host, "0"), queue, s.tells
 		d.listen(l.T)
 		l.Cleanup(func() { d.server.Close() })
 		s.discoveries[n] = d
@@ -259,7 +277,7 @@
 
 // configure names a discovery in the start file.
 func (s *leaseSidecar) configure(discovery int) {
-	path := startFile(s.trial.T, filepath.Dir(s.config), s.listen, s.discoveries[discovery].addr, s.trial.list(1, true), 512, s.fleet)
+	path := startFile(s.trial.T, filepath.Dir(s.config), s.listen, s.discoveries[discovery].addr, s.list(1, true), 512, s.fleet)
 	require.NoError(s.trial, os.Rename(path, s.config))
 }
 
@@ -394,67 +412,101 @@
 		s.name, last.Sub(event), bound, d.since(event))
 }
 
-// A call behind a watch that ended is answered after the drain counts as notified, in one process and in the middle of a hand-over.
+// A call behind a watch that ended is answered after the drain counts as notified, in one process and in the middle of a hand-over; then
+// with requests under way to the endpoint that drains.
 func TestNoRequestToADrainWhileACallWaitsBehindAnEndedWatch(t *testing.T) {
 	t.Parallel()
-	playLease(t, func(trial *leaseTrial) {
-		var queued, held, handed, termed []*leaseSidecar
-		for _, fleet := range []int{1, 40} {
-			start := func(what string, crowded bool) *leaseSidecar {
-				var queue *callqueue.Queue
-				if crowded {
-					queue = callqueue.New(queuedWork, 0, callqueue.Wait)
-				}
-				return trial.sidecar(fmt.Sprintf("%s, fleet of %d", what, fleet), fleet, queue)
-			}
-			queued = append(queued, start("a queue", true))
-			held = append(held, start("answers together", false))
-			handed = append(handed, start("a queue and a hand-over", true))
-			termed = append(termed, start("a queue and a hand-over before any list", true))
-		}
-		trial.begin()
-		gates := []chan struct{}{}
-		for _, s := range held {
-			gates = append(gates, s.discoveries[0].hold())
-		}
-		for _, s := range slices.Concat(queued, handed, termed) {
-			s.discoveries[0].crowd(trial.T, queuedBefore)
-		}
-		ended := time.Now()
-		for _, s := range trial.sidecars {
-			s.discoveries[0].set(trial.list(2, false))
-			s.discoveries[0].endWatches()
-		}
-		time.AfterFunc(queuedFor, func() {
-			for _, gate := range gates {
-				close(gate)
+	t.Run("undisturbed", func(t *testing.T) { playLease(t, waitBehindAnEndedWatch) })
+	t.Run("disturbed", func(t *testing.T) { playLease(t, waitBehindAnEndedWatchDisturbed) })
+}
+
+func newLeaseQueue() *callqueue.Queue { return callqueue.New(queuedWork, 0, callqueue.Wait) }
+
+func waitBehindAnEndedWatch(trial *leaseTrial) {
+	var queued, held, handed, termed []*leaseSidecar
+	for _, fleet := range []int{1, 40} {
+		start := func(what string, crowded bool) *leaseSidecar {
+			var queue *callqueue.Queue
+			if crowded {
+				queue = newLeaseQueue()
 			}
-		})
-		time.Sleep(time.Until(ended.Add(500 * time.Millisecond)))
-		for _, s := range slices.Concat(handed, termed) {
-			s.handOver()
-		}
-		time.Sleep(time.Until(ended.Add(1500 * time.Millisecond)))
-		for _, s := range termed {
-			s.endFirst()
+			return trial.sidecar(fmt.Sprintf("%s, fleet of %d", what, fleet), fleet, queue)
 		}
-		for _, s := range handed {
-			s.awaitSecondReady()
-			s.endFirst()
-		}
-		heard := ended.Add(queuedFor + 2*settleTime)
-		if settled := time.Now().Add(2 * settleTime); settled.After(heard) {
-			heard = settled // the hand-overs took longer
-		}
-		over := heard.Add(2 * time.Second)
-		time.Sleep(time.Until(over.Add(leaseTimeout + answerGrace)))
-		for _, s := range trial.sidecars {
-			s.expectDrainKept(ended, notifiedAfterEnd, s.discoveries[0])
-			s.expectAnswered(ended, over)
-			s.expectServed(heard, over)
-			s.awaitVersion(2)
+		queued = append(queued, start("a queue", true))
+		held = append(held, start("answers together", false))
+		handed = append(handed, start("a queue and a hand-over", true))
+		termed = append(termed, start("a queue and a hand-over before any list", true))
+	}
+	trial.begin()
+	gates := []chan struct{}{}
+	for _, s := range held {
+		gates = append(gates, s.discoveries[0].hold())
+	}
+	ended := trial.endWatchesBeforeADrain()
+	time.AfterFunc(queuedFor, func() {
+		for _, gate := range gates {
+			close(gate)
 		}
 	})
+	time.Sleep(time.Until(ended.Add(500 * time.Millisecond)))
+	for _, s := range slices.Concat(handed, termed) {
+		s.handOver()
+	}
+	time.Sleep(time.Until(ended.Add(1500 * time.Millisecond)))
+	for _, s := range termed {
+		s.endFirst()
+	}
+	for _, s := range handed {
+		s.awaitSecondReady()
+		s.endFirst()
+	}
+	heard := ended.Add(queuedFor + 2*settleTime)
+	if settled := time.Now().Add(2 * settleTime); settled.After(heard) {
+		heard = settled // the hand-overs took longer
+	}
+	over := heard.Add(2 * time.Second)
+	time.Sleep(time.Until(over.Add(leaseTimeout + answerGrace)))
+	for _, s := range trial.sidecars {
+		s.expectDrainKept(ended, notifiedAfterEnd, s.discoveries[0])
+		s.expectAnswered(ended, over)
+		s.expectServed(heard, over)
+		s.awaitVersion(2)
+	}
+}
+
+// endWatchesBeforeADrain ends all watches in place of telling the drain, with the calls of others in the queue. It returns when.
+func (l *leaseTrial) endWatchesBeforeADrain() (ended time.Time) {
+	for _, s := range l.sidecars {
+		if s.discoveries[0].queue != nil {
+			s.discoveries[0].crowd(l.T, queuedBefore)
+		}
+	}
+	ended = time.Now()
+	for _, s := range l.sidecars {
+		s.discoveries[0].set(s.list(2, false))
+		s.discoveries[0].endWatches()
+	}
+	return ended
+}
+
+func waitBehindAnEndedWatchDisturbed(trial *leaseTrial) {
+	const ms = time.Millisecond
+	trial.timeout = longTimeout
+	start := func(name string, options ...func(*leaseSidecar)) *leaseSidecar {
+		return trial.sidecar(name, 6, newLeaseQueue(), options...)
+	}
+	bound := notifiedAfterEnd + drainGrace
+	start("dials slowly", behindALateDoor(bound-750*ms, bound+100*ms), besideOneThat(hangs))
+	start("stands still for 0.15 s", standingStill(bound-50*ms, bound+100*ms))
+	start("stands still over the bound", standingStill(bound-300*ms, bound+300*ms))
+	startBesideTroubled(start)
+	trial.begin()
+	trial.awaitEvent()
+	ended := trial.endWatchesBeforeADrain()
+	time.Sleep(time.Until(ended.Add(bound + overdue)))
+	for _, s := range trial.sidecars {
+		s.expectDrainKept(ended, notifiedAfterEnd, s.discoveries[0])
+	}
 }
 
 // allFaults are all faulty answers in a fixed order.
@@ -503,19 +555,19 @@
 
 func faultyAfterReturn(trial *leaseTrial) (event time.Time, discovery int) {
 	for _, s := range trial.sidecars {
-		s.discoveries[0].set(trial.list(1, true), slices.Repeat([]string{"busy"}, 1000)...)
+		s.discoveries[0].set(s.list(1, true), slices.Repeat([]string{"busy"}, 1000)...)
 		s.discoveries[0].endWatches()
 	}
 	time.Sleep(outageTime)
 	for _, s := range trial.sidecars {
-		s.discoveries[0].set(trial.list(2, false), s.script...)
+		s.discoveries[0].set(s.list(2, false), s.script...)
 	}
 	return time.Now(), 0
 }
 
 func faultyAfterReload(trial *leaseTrial) (event time.Time, discovery int) {
 	for _, s := range trial.sidecars {
-		s.discoveries[1].set(trial.list(2, false), s.script...)
+		s.discoveries[1].set(s.list(2, false), s.script...)
 		s.configure(1)
 	}
 	event = time.Now()
@@ -561,13 +613,13 @@
 			s.discoveries[0].goAway()
 		}
 		for _, s := range busy {
-			s.discoveries[0].set(trial.list(1, true), slices.Repeat([]string{"busy"}, 1000)...)
+			s.discoveries[0].set(s.list(1, true), slices.Repeat([]string{"busy"}, 1000)...)
 			s.discoveries[0].endWatches()
 		}
 		time.Sleep(time.Until(ended.Add(down)))
 		back := time.Now()
 		for _, s := range trial.sidecars {
-			s.discoveries[0].set(trial.list(2, false))
+			s.discoveries[0].set(s.list(2, false))
 		}
 		for _, s := range refusing {
 			s.discoveries[0].listen(trial.T)
@@ -596,13 +648,13 @@
 		trial.begin()
 		ended := time.Now()
 		for _, s := range trial.sidecars {
-			s.discoveries[0].set(trial.list(1, true), s.script...)
+			s.discoveries[0].set(s.list(1, true), s.script...)
 			s.discoveries[0].endWatches()
 		}
 		over := ended.Add(silent)
 		time.Sleep(time.Until(over))
 		for _, s := range trial.sidecars {
-			s.discoveries[0].set(trial.list(2, false))
+			s.discoveries[0].set(s.list(2, false))
 		}
 		time.Sleep(leaseTimeout + answerGrace)
 		for _, s := range trial.sidecars {
