Test: a watch ends in place of telling, and the next call is not answered

Control of the rig for the tests of the lease that follow: real sockets, one endpoint, a request each 20 ms, a script for each call.

--- /dev/null
+++ b/internal/sidecar/lease_test.go
@@ -0,0 +1,110 @@
+package sidecar
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const (
+	leaseGrace  = 500 * time.Millisecond
+	leaseSlack  = 50 * time.Millisecond
+	leaseLooked = 2 * time.Second       // after a change counts as notified, in which requests to a drain are looked for
+	leasePace   = 20 * time.Millisecond // between two requests
+	endsOrderly = "0\r\n\r\n"           // the end of a chunked answer
+)
+
+// leaseTrial is a sidecar under load that knows one endpoint, and a discovery that plays a script for each call.
+type leaseTrial struct {
+	*running
+	endpoint  *standIn
+	discovery *standIn
+	calls     atomic.Int64
+	mu        sync.Mutex
+	last      time.Time // the last request to the endpoint
+	statuses  map[int]int
+}
+
+// newLeaseTrial starts a sidecar whose nth call to discovery, from 1 on, is answered by call.
+func newLeaseTrial(t *testing.T, call func(l *leaseTrial, n int64, c net.Conn)) *leaseTrial {
+	l := &leaseTrial{statuses: map[int]int{}}
+	l.endpoint = newStandIn(t, func(c net.Conn, _ *http.Request) bool {
+		l.mu.Lock()
+		l.last = time.Now()
+		l.mu.Unlock()
+		c.Write([]byte(fine))
+		return true
+	})
+	l.endpoint.seen = make(chan *http.Request, 10000)
+	l.discovery = newStandIn(t, func(c net.Conn, _ *http.Request) bool {
+		call(l, l.calls.Add(1), c)
+		return false
+	})
+	l.running = begin(t, known(l.endpoint), func(s *Start) {
+		s.Discovery, s.terms.DrainGrace, s.terms.Knows = l.discovery.Addr().String(), millis(leaseGrace), false
+	})
+	return l
+}
+
+func (l *leaseTrial) inService(version int) string {
+	return listText(version, true, entryText("s0", l.endpoint.Addr().String(), "in_service"))
+}
+
+func (l *leaseTrial) drained(version int) string {
+	return listText(version, true, entryText("s0", l.endpoint.Addr().String(), "terminating"))
+}
+
+// load sends requests until a time.
+func (l *leaseTrial) load(until time.Time) {
+	var all sync.WaitGroup
+	for n := 0; time.Now().Before(until); n++ {
+		c := l.dial()
+		all.Go(func() {
+			status := 0
+			if got, _ := exchangeOn(c, ask(fmt.Sprint(n), "GET", "look", "")); got != nil {
+				status = got.StatusCode
+			}
+			c.Close()
+			l.mu.Lock()
+			l.statuses[status]++
+			l.mu.Unlock()
+		})
+		time.Sleep(leasePace)
+	}
+	all.Wait()
+}
+
+// expectDrainKept loads the sidecar for so long after a change counts as notified, and checks when the last request was sent.
+func (l *leaseTrial) expectDrainKept(notified time.Time, loaded time.Duration) {
+	l.load(notified.Add(loaded))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	assert.LessOrEqual(l, l.last.Sub(notified), leaseGrace+leaseSlack, "last request to the endpoint after the change counts as notified")
+}
+
+// tellAndEnd tells a list and ends the watch after a while.
+func (l *leaseTrial) tellAndEnd(c net.Conn, ended chan<- time.Time) {
+	c.Write([]byte(watchHead + chunk(l.inService(7))))
+	time.Sleep(300 * time.Millisecond)
+	ended <- time.Now()
+	c.Write([]byte(endsOrderly))
+	c.Close()
+}
+
+func TestNoRequestToADrainWhileACallWaitsBehindAnOrderlyEnd(t *testing.T) {
+	t.Parallel()
+	ended := make(chan time.Time, 1)
+	l := newLeaseTrial(t, func(l *leaseTrial, n int64, c net.Conn) {
+		if n == 1 {
+			l.tellAndEnd(c, ended)
+		}
+		silent(c, nil)
+	})
+	l.expectDrainKept((<-ended).Add(notifiedAfterEnded), leaseLooked)
+}
--- a/logic/lease_test.go
+++ b/logic/lease_test.go
@@ -41,14 +41,20 @@
 
 // newLeaseWorld has heard its list at 2000.
 func newLeaseWorld(terms Terms) *leaseWorld {
+	w := newUnheardLeaseWorld(terms)
+	w.play(2000)
+	w.hear()
+	w.arrive()
+	return w
+}
+
+// newUnheardLeaseWorld starts at 1000 and has heard nothing.
+func newUnheardLeaseWorld(terms Terms) *leaseWorld {
 	w := &leaseWorld{Outgoing: nowhere{}, eventQueue: eventQueue{now: 1000}}
 	terms.MustAsk, terms.Fleet, terms.LongestWait, terms.MaxLegs, terms.Tick = true, 6, 1200, 3, 5
 	terms.Notified = NotificationBounds{Reached: 6000, Moved: 4000, Ended: 2000}
 	terms.Products = []Product{{Effect: Replayable, Expected: 500, Abandon: 1000, Value: 1}}
 	w.b = New(terms, w, w.now)
-	w.play(2000)
-	w.hear()
-	w.arrive()
 	return w
 }
 
