Failing test: a new configuration resumes attempts that the lease had suspended

Cause: leaseMoved clears reached, and reviewLease resumes whenever discovery is not known to be reached. What the discovery before owed is still notified: its deadline stays, but nothing is held back until the next call was taken in.

Result: fails. Three configurations, 0.25 s apart, 3 s behind a watch's end: 100 attempts in 0.75 s, none expected.

--- /dev/null
+++ b/logic/lease_deadlines_test.go
@@ -0,0 +1,31 @@
+package logic
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// leaseGrace is the grace for drains in these tests.
+const leaseGrace Millis = 500
+
+// lostWatch has a watch end at 10000 in place of telling, and a call taken in 0.3 s later.
+func lostWatch() *leaseWorld {
+	w := newLeaseWorld(Terms{DrainGrace: leaseGrace})
+	w.play(10000)
+	w.b.ListLost(0, true)
+	w.play(10300)
+	w.b.ListReached(false)
+	return w
+}
+
+func TestANewConfigurationResumesNoSuspendedAttempts(t *testing.T) {
+	w := lostWatch()
+	w.play(13000)
+	assert.True(t, w.b.Suspended())
+	for range 3 {
+		w.b.ListMoved()
+		w.play(w.now + 250)
+	}
+	assert.Zero(t, w.sentIn(12000+leaseGrace, w.now))
+}
