Failing test: configurations in a row put off the deadline of a watch that ended

Cause: leaseMoved clears reached; in a series the next call is made 0.7 s later and counts as taken in 0.3 s after that. The deadline of the watch that ended passes meanwhile with nothing held back.

--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -29,3 +29,15 @@
 	}
 	assert.Zero(t, w.sentIn(12000+leaseGrace, w.now))
 }
+
+func TestNewConfigurationsInARowPutOffNoDeadlineOfAWatchsEnd(t *testing.T) {
+	w := lostWatch()
+	w.play(11500)
+	w.b.ListMoved()
+	w.play(11800)
+	w.b.ListReached(false)
+	w.play(12000)
+	w.b.ListMoved()
+	w.play(12000 + moveQuiet + 300)
+	assert.Zero(t, w.sentIn(12000+leaseGrace, w.now))
+}
