Failing test: an answer from an older replica renews the lease

Cause: listing.happen calls ListHeard for a first answer whose version is older than what is known, which ends all deadlines, and then ListLost(0, false), which owes one 6 s later. The 2 s behind the watch that ended are forgotten.

--- a/internal/sidecar/lease_test.go
+++ b/internal/sidecar/lease_test.go
@@ -108,3 +108,20 @@
 	})
 	l.expectDrainKept((<-ended).Add(notifiedAfterEnded), leaseLooked)
 }
+
+func TestNoRequestToADrainWhileAReplicaThatLagsAnswersFirst(t *testing.T) {
+	t.Parallel()
+	ended := make(chan time.Time, 1)
+	l := newLeaseTrial(t, func(l *leaseTrial, n int64, c net.Conn) {
+		switch n {
+		case 1:
+			l.tellAndEnd(c, ended)
+		case 2:
+			c.Write([]byte(watchHead + chunk(listText(3, false))))
+			silent(c, nil)
+		default:
+			silent(c, nil)
+		}
+	})
+	l.expectDrainKept((<-ended).Add(notifiedAfterEnded), leaseLooked)
+}
