Failing test: one refusal after a wait forgets the deadline of a watch that ended

Cause: leaseRefused drops endedBy at the first refusal after 0.3 s or more, though waitsOfACrowd says that one such refusal is that of a crowd. The next call that is taken in does not bring it back.

--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -41,3 +41,13 @@
 	w.play(12000 + moveQuiet + 300)
 	assert.Zero(t, w.sentIn(12000+leaseGrace, w.now))
 }
+
+func TestOneRefusalAfterAWaitPutsOffNoDeadlineOfAWatchsEnd(t *testing.T) {
+	w := lostWatch()
+	w.play(10400)
+	w.b.ListRefused(400)
+	w.play(11000)
+	w.b.ListReached(false)
+	w.play(13500)
+	assert.Zero(t, w.sentIn(12000+leaseGrace, w.now))
+}
