Failing test: one refusal after a wait resumes attempts that the lease had suspended

Cause: as with the deadline of the watch: leaseRefused clears reached and endedBy at the first refusal after a wait.

--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -51,3 +51,13 @@
 	w.play(13500)
 	assert.Zero(t, w.sentIn(12000+leaseGrace, w.now))
 }
+
+func TestOneRefusalAfterAWaitResumesNoSuspendedAttempts(t *testing.T) {
+	w := lostWatch()
+	w.play(13000)
+	w.b.ListRefused(2900)
+	w.play(13200)
+	w.b.ListReached(false)
+	w.play(14500)
+	assert.Zero(t, w.sentIn(12000+leaseGrace, w.now))
+}
