Failing test: refusals beside a call that waits count as an outage

Cause: four calls refused at once in a row drop the deadlines, also while a call that discovery took in is still open: a queue that is full refuses further calls and answers those in it.

--- a/internal/sidecar/lease_test.go
+++ b/internal/sidecar/lease_test.go
@@ -125,3 +125,19 @@
 	})
 	l.expectDrainKept((<-ended).Add(notifiedAfterEnded), leaseLooked)
 }
+
+func TestNoRequestToADrainWhileOthersAreRefusedBesideACallThatWaits(t *testing.T) {
+	t.Parallel()
+	ended := make(chan time.Time, 1)
+	l := newLeaseTrial(t, func(l *leaseTrial, n int64, c net.Conn) {
+		switch n {
+		case 1:
+			l.tellAndEnd(c, ended)
+		case 2:
+			silent(c, nil)
+		default:
+			c.Write([]byte("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"))
+		}
+	})
+	l.expectDrainKept((<-ended).Add(notifiedAfterEnded), leaseLooked+time.Second)
+}
