Failing test: two calls that are refused together count as two waits

Cause: leaseRefused counts each call that is refused after a wait. A crowded discovery may end all of a process's calls at once; the second one then drops the 4 s behind a new configuration.

--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -61,3 +61,18 @@
 	w.play(14500)
 	assert.Zero(t, w.sentIn(12000+leaseGrace, w.now))
 }
+
+func TestCallsRefusedTogetherCountAsOneWait(t *testing.T) {
+	w := newLeaseWorld(Terms{DrainGrace: leaseGrace})
+	w.play(10000)
+	w.b.ListMoved()
+	w.play(10300)
+	w.b.ListReached(false)
+	w.play(13000)
+	w.b.ListRefused(3000)
+	w.b.ListRefused(1500)
+	w.play(13400)
+	w.b.ListReached(false)
+	w.play(15500)
+	assert.Zero(t, w.sentIn(14000+leaseGrace, w.now))
+}
