--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -76,3 +76,13 @@
 	w.play(15500)
 	assert.Zero(t, w.sentIn(14000+leaseGrace, w.now))
 }
+
+func TestASpentSuspensionComesAgainBehindANewConfiguration(t *testing.T) {
+	w := lostWatch()
+	w.play(40000)
+	w.b.ListMoved()
+	w.play(40300)
+	w.b.ListReached(false)
+	w.play(46000)
+	assert.Zero(t, w.sentIn(44000+leaseGrace, w.now))
+}
