Failing test: a suspension that was spent does not come again after an outage

Cause: spent stands until a list is heard. Refusals in a row begin the time anew, but what counts from discovery's return is not held back.

--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -86,3 +86,12 @@
 	w.play(46000)
 	assert.Zero(t, w.sentIn(44000+leaseGrace, w.now))
 }
+
+func TestASpentSuspensionComesAgainAfterAnOutage(t *testing.T) {
+	w := lostWatch()
+	w.play(20000)
+	w.refuseEvery(500, 30000)
+	w.b.ListReached(false)
+	w.play(37000)
+	assert.Zero(t, w.sentIn(36000+leaseGrace, w.now))
+}
