--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -107,3 +107,17 @@
 	}
 	assert.Zero(t, w.sentIn(10000+leaseGrace, w.now))
 }
+
+func TestWhatAnAgentHasCountsFromAProcesssFirstMoment(t *testing.T) {
+	w := newUnheardLeaseWorld(Terms{DrainGrace: leaseGrace, SoleCaller: true, AskWithin: 125})
+	w.b.ListStarts()
+	w.b.Listed("a", Running, 0, 0, 0, 1, 0)
+	w.b.ListEnds(true)
+	w.arrive()
+	for range 4 {
+		w.play(w.now + 300)
+		w.b.ListReached(true)
+		w.b.ListFailed()
+	}
+	assert.Zero(t, w.sentIn(1000+leaseGrace, w.now))
+}
