Failing test: the end of the watch of the discovery before sets no deadline

Cause: listLost ends the watch of the discovery before and tells the module nothing. Until the new discovery tells a list that watch is the only source of changes; its end in place of telling one leaves the 4 s behind the new configuration alone.

--- a/internal/sidecar/lease_test.go
+++ b/internal/sidecar/lease_test.go
@@ -141,3 +141,21 @@
 	})
 	l.expectDrainKept((<-ended).Add(notifiedAfterEnded), leaseLooked+time.Second)
 }
+
+func TestNoRequestToADrainBehindTheEndOfTheWatchOfTheDiscoveryBefore(t *testing.T) {
+	t.Parallel()
+	end, ended := make(chan bool), make(chan time.Time, 1)
+	next := newStandIn(t, silent)
+	l := newLeaseTrial(t, func(l *leaseTrial, n int64, c net.Conn) {
+		c.Write([]byte(watchHead + chunk(l.inService(7))))
+		<-end
+		ended <- time.Now()
+		c.Write([]byte(endsOrderly))
+	})
+	within(t, "the first list", func() bool { return l.front.counters.listVersion.Load() == 7 })
+	l.loop.postFirst(moved{next.Addr().String()})
+	within(t, "the next discovery is called", func() bool { return next.requests.Load() > 0 })
+	time.Sleep(100 * time.Millisecond)
+	close(end)
+	l.expectDrainKept((<-ended).Add(notifiedAfterEnded), leaseLooked)
+}
