Failing test: a watch that is reset in place of telling sets no deadline of 2 s

Cause: callError.orderly takes a reset for the network's; a service that closes with unread bytes or without lingering ends its watches so.

--- a/internal/sidecar/lease_test.go
+++ b/internal/sidecar/lease_test.go
@@ -159,3 +159,20 @@
 	close(end)
 	l.expectDrainKept((<-ended).Add(notifiedAfterEnded), leaseLooked)
 }
+
+func TestNoRequestToADrainBehindAWatchThatWasResetInPlaceOfTelling(t *testing.T) {
+	t.Parallel()
+	ended := make(chan time.Time, 1)
+	l := newLeaseTrial(t, func(l *leaseTrial, n int64, c net.Conn) {
+		if n > 1 {
+			silent(c, nil)
+			return
+		}
+		c.Write([]byte(watchHead + chunk(l.inService(7))))
+		time.Sleep(300 * time.Millisecond)
+		ended <- time.Now()
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	})
+	l.expectDrainKept((<-ended).Add(notifiedAfterEnded), leaseLooked)
+}
