Failing test: a watch that beats and tells nothing more holds the lease

Cause: the lease runs only while no watch is open. A beat shows that the connection lives, not that changes are told.

--- a/internal/sidecar/lease_test.go
+++ b/internal/sidecar/lease_test.go
@@ -176,3 +176,21 @@
 	})
 	l.expectDrainKept((<-ended).Add(notifiedAfterEnded), leaseLooked)
 }
+
+func TestNoRequestToADrainThatABeatingWatchDoesNotTell(t *testing.T) {
+	t.Parallel()
+	told := make(chan time.Time, 1)
+	l := newLeaseTrial(t, func(l *leaseTrial, n int64, c net.Conn) {
+		if n > 1 {
+			c.Write([]byte(watchHead + chunk(l.drained(8))))
+			silent(c, nil)
+			return
+		}
+		c.Write([]byte(watchHead + chunk(l.inService(7))))
+		told <- time.Now()
+		for err := error(nil); err == nil; time.Sleep(beat) {
+			_, err = c.Write([]byte("1\r\n\n\r\n"))
+		}
+	})
+	l.expectDrainKept((<-told).Add(notifiedAfterReached), leaseLooked)
+}
