Failing test: calls that fail in the process itself keep the lease from ending

Cause: no call was taken in, so reached stays false, though the watch's orderly end shows a service that runs, and EMFILE shows nothing of it.

Not suspended 2.5 s behind the end of the watch.

--- /dev/null
+++ b/internal/sidecar/lease_calls_test.go
@@ -0,0 +1,63 @@
+package sidecar
+
+import (
+	"container/heap"
+	"context"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"github.com/lynxjunction/lynxjunction/internal/hands"
+	"github.com/lynxjunction/lynxjunction/internal/terms"
+	"github.com/lynxjunction/lynxjunction/logic"
+)
+
+// stillLoop is a loop that nobody runs, with a list of one endpoint heard at 0, and calls that go nowhere.
+type stillLoop struct {
+	*loop
+	from logic.Millis
+}
+
+func newStillLoop() *stillLoop {
+	ctx, end := context.WithCancel(context.Background())
+	end()
+	books, c := newSockets(100, &Counters{}), &Counters{}
+	t := logic.Terms{MustAsk: true, DrainGrace: millis(leaseGrace), LongestWait: millis(longestWait), AskWithin: 1000, Fleet: 1, Tick: 1,
+		Products: []logic.Product{{Expected: 500, Abandon: 1000, Value: 1}},
+		Notified: logic.NotificationBounds{Reached: millis(notifiedAfterReached), Moved: millis(notifiedAfterMoved), Ended: millis(notifiedAfterEnded)}}
+	_, names := terms.From(nil, 1)
+	l := newLoop(ctx, t, nil, newUpstream(200, 10000, books, c), newLists("127.0.0.1:1", silence, names), hands.New("", zap.NewNop()), c, zap.NewNop())
+	s := &stillLoop{loop: l, from: l.now}
+	listing{inventory: inventory{version: 7, full: true, servers: []entry{{id: "s0", addr: "127.0.0.1:2", running: true}}}, watch: l.list.last}.happen(l)
+	return s
+}
+
+// at sets the clock, in milliseconds from the start, and has the timers of calls and of the lease come.
+func (s *stillLoop) at(after logic.Millis) {
+	s.now = s.from + after
+	s.module.At(s.now)
+	for s.timers.Len() > 0 && s.timers[0].at <= s.now {
+		s.module.Alarm(heap.Pop(&s.timers).(alarm).id)
+	}
+}
+
+// fail ends the newest call.
+func (s *stillLoop) fail(stage callStage, cause error) {
+	listLost{watch: s.list.last, cause: &callError{Stage: stage, Cause: cause, Began: time.Now()}}.happen(s.loop)
+}
+
+func TestNoRequestToADrainWhileTheProcessHasNoDescriptorForACall(t *testing.T) {
+	s := newStillLoop()
+	s.fail(following, io.ErrUnexpectedEOF)
+	for after := logic.Millis(100); after <= millis(notifiedAfterEnded+leaseGrace); after += 100 {
+		s.at(after)
+		s.fail(connecting, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)})
+	}
+	assert.True(t, s.module.Suspended())
+}
