Failing test: the lease stops service while discovery is cut off

Cause: only refusals clear reached. Calls that fail in connect (EHOSTUNREACH, timeouts) leave what an earlier call had shown.

--- a/internal/sidecar/lease_calls_test.go
+++ b/internal/sidecar/lease_calls_test.go
@@ -61,3 +61,16 @@
 	}
 	assert.True(t, s.module.Suspended())
 }
+
+func TestTheLeaseStopsNoServiceWhileDiscoveryIsCutOff(t *testing.T) {
+	s := newStillLoop()
+	s.fail(following, syscall.ECONNRESET)
+	s.at(500)
+	listReached{watch: s.list.last}.happen(s.loop)
+	s.fail(awaitingHead, os.ErrDeadlineExceeded)
+	for after := logic.Millis(1000); after <= 8000; after += 200 {
+		s.at(after)
+		s.fail(connecting, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.EHOSTUNREACH)})
+	}
+	assert.False(t, s.module.Suspended())
+}
