--- a/internal/sidecar/lease_test.go
+++ b/internal/sidecar/lease_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxjunction/lynxjunction/logic"
 )
 
 const (
@@ -194,3 +196,23 @@
 	})
 	l.expectDrainKept((<-told).Add(notifiedAfterReached), leaseLooked)
 }
+
+func TestRequestsThatWaitForAListGoOutWithIt(t *testing.T) {
+	t.Parallel()
+	ended, answered := make(chan time.Time, 1), make(chan int64, 1)
+	l := newLeaseTrial(t, func(l *leaseTrial, n int64, c net.Conn) {
+		if n == 1 {
+			l.tellAndEnd(c, ended)
+			return
+		}
+		if n == 2 {
+			time.Sleep(notifiedAfterEnded + leaseGrace + 50*time.Millisecond)
+			answered <- l.front.counters.legs[logic.NotSent].Load()
+			c.Write([]byte(watchHead + chunk(l.inService(8))))
+		}
+		silent(c, nil)
+	})
+	l.load((<-ended).Add(notifiedAfterEnded + leaseGrace + time.Second))
+	assert.EqualValues(t, 1, l.front.counters.suspensions.Load())
+	assert.Equal(t, <-answered, l.front.counters.legs[logic.NotSent].Load(), "attempts kept back before and after the list; answers %v", l.statuses)
+}
