Failing test: requests that wait are kept back once more where the loop is held up

Cause: the module sends with the list, but the flag that mayBegin reads is cleared at the end of the loop's turn. An attempt on a kept connection is faster where the loop is held up in between, here for 20 ms: it ends as not sent, and takes one of the request's attempts and one of the retries.

--- a/internal/sidecar/lease_test.go
+++ b/internal/sidecar/lease_test.go
@@ -216,3 +216,25 @@
 	assert.EqualValues(t, 1, l.front.counters.suspensions.Load())
 	assert.Equal(t, <-answered, l.front.counters.legs[logic.NotSent].Load(), "attempts kept back before and after the list; answers %v", l.statuses)
 }
+
+func TestRequestsThatWaitGoOutWithTheListThoughTheLoopIsHeldUp(t *testing.T) {
+	t.Parallel()
+	ended, answered := make(chan time.Time, 1), make(chan int64, 1)
+	l := newLeaseTrial(t, func(l *leaseTrial, n int64, c net.Conn) {
+		if n == 1 {
+			l.tellAndEnd(c, ended)
+			return
+		}
+		if n == 2 {
+			time.Sleep(notifiedAfterEnded + leaseGrace + 50*time.Millisecond)
+			answered <- l.front.counters.legs[logic.NotSent].Load()
+			c.Write([]byte(watchHead + chunk(l.inService(8))))
+		}
+		silent(c, nil)
+	})
+	heldUp := func() { time.Sleep(20 * time.Millisecond) }
+	l.loop.onChange.Store(&heldUp)
+	l.load((<-ended).Add(notifiedAfterEnded + leaseGrace + time.Second))
+	assert.EqualValues(t, 1, l.front.counters.suspensions.Load())
+	assert.Equal(t, <-answered, l.front.counters.legs[logic.NotSent].Load(), "attempts kept back before and after the list; answers %v", l.statuses)
+}
