Failing test: a second loss with no list between puts off the deadline

Cause: leaseWatchEnded sets reachedBy whatever stands there. The loop reports a loss a second time where a panic ends a list that is being booked.

--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -121,3 +121,15 @@
 	}
 	assert.Zero(t, w.sentIn(1000+leaseGrace, w.now))
 }
+
+func TestASecondLossPutsOffNoDeadline(t *testing.T) {
+	w := newLeaseWorld(Terms{DrainGrace: leaseGrace})
+	w.play(10000)
+	w.b.ListLost(0, false)
+	w.play(10300)
+	w.b.ListReached(false)
+	w.play(15000)
+	w.b.ListLost(0, false)
+	w.play(18000)
+	assert.Zero(t, w.sentIn(16000+leaseGrace, w.now))
+}
