Failing test: single refusals put off a deadline

Cause: while no call was taken in since the watch, each single refusal begins the 6 s anew; the pace of calls does so only after more in a row than faults of single calls make.

Result: fails.

--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -133,3 +133,17 @@
 	w.play(18000)
 	assert.Zero(t, w.sentIn(16000+leaseGrace, w.now))
 }
+
+func TestSingleRefusalsPutOffNoDeadline(t *testing.T) {
+	w := newLeaseWorld(Terms{DrainGrace: leaseGrace})
+	w.play(10000)
+	w.b.ListLost(0, false)
+	for range faultsInARow {
+		w.play(w.now + 500)
+		w.b.ListRefused(1)
+	}
+	w.play(12300)
+	w.b.ListReached(false)
+	w.play(18000)
+	assert.Zero(t, w.sentIn(16000+leaseGrace, w.now))
+}
