Failing test: an attempt that the lease kept back costs its request the answer

Cause: furtherLeg asks the gate, which lets nothing pass while attempts are suspended: the request is given up in place of being queued. What was dialling at the end of the lease gets 503 at once, and so does what fails elsewhere meanwhile.

--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -147,3 +147,18 @@
 	w.play(18000)
 	assert.Zero(t, w.sentIn(16000+leaseGrace, w.now))
 }
+
+func TestARequestWhoseAttemptDidNotBeginWaitsForTheList(t *testing.T) {
+	w := lostWatch()
+	w.play(12000 + leaseGrace - leaseStall - 100)
+	x, sent := ExchangeID("dialling"), len(w.sent)
+	w.serving = 1000
+	w.b.Arrive(x, 0, -1, 0, w.now+1000, 0, false)
+	w.serving = 1
+	assert.Len(t, w.sent, sent+1)
+	w.play(w.now + 110)
+	assert.True(t, w.b.Suspended())
+	refused := w.refused
+	w.b.Ended(x, 0, NotSent, 110, false)
+	assert.Equal(t, refused, w.refused)
+}
--- a/logic/lease_test.go
+++ b/logic/lease_test.go
@@ -14,7 +14,8 @@
 	b       *Balancer
 	sent    []Millis // when attempts began
 	refused int
-	timers  int // that are set and have not come
+	serving Millis // that an attempt takes
+	timers  int    // that are set and have not come
 	arrived int
 }
 
@@ -31,9 +32,10 @@
 
 func (w *leaseWorld) Send(x ExchangeID, _ EndpointID, _ Millis) {
 	w.sent = append(w.sent, w.now)
-	w.after(1, func() {
+	serving := w.serving
+	w.after(serving, func() {
 		w.b.At(w.now)
-		w.b.Ended(x, 0, Satisfied, 1, true)
+		w.b.Ended(x, 0, Satisfied, serving, true)
 	})
 }
 
@@ -50,7 +52,7 @@
 
 // newUnheardLeaseWorld starts at 1000 and has heard nothing.
 func newUnheardLeaseWorld(terms Terms) *leaseWorld {
-	w := &leaseWorld{Outgoing: nowhere{}, eventQueue: eventQueue{now: 1000}}
+	w := &leaseWorld{Outgoing: nowhere{}, eventQueue: eventQueue{now: 1000}, serving: 1}
 	terms.MustAsk, terms.Fleet, terms.LongestWait, terms.MaxLegs, terms.Tick = true, 6, 1200, 3, 5
 	terms.Notified = NotificationBounds{Reached: 6000, Moved: 4000, Ended: 2000}
 	terms.Products = []Product{{Effect: Replayable, Expected: 500, Abandon: 1000, Value: 1}}
