Failing test: a short suspension refuses nearly all requests that come meanwhile

Cause: lineUp takes the attempts that are out for the room that frees up. In a suspension there are none, so that a queue of a few requests seems too long.

--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -162,3 +162,19 @@
 	w.b.Ended(x, 0, NotSent, 110, false)
 	assert.Equal(t, refused, w.refused)
 }
+
+func TestAShortSuspensionRefusesFewRequests(t *testing.T) {
+	w := newLeaseWorld(Terms{DrainGrace: leaseGrace})
+	w.serving = 50
+	w.play(10000)
+	served := w.refused
+	w.b.ListLost(0, true)
+	w.play(10300)
+	w.b.ListReached(false)
+	w.play(12000 + leaseGrace - leaseStall)
+	assert.Equal(t, served, w.refused, "before the lease's end")
+	w.play(w.now + 200)
+	w.hear()
+	w.play(w.now + 1000)
+	assert.LessOrEqual(t, w.refused-served, int(200/leaseRequestEvery)/2)
+}
