Failing test: new configurations while a call waits behind an ended watch

Cause: as with the module alone: a new configuration lets suspended attempts begin until a call to its discovery counts as taken in.

--- a/internal/sidecar/lease_test.go
+++ b/internal/sidecar/lease_test.go
@@ -238,3 +238,22 @@
 	assert.EqualValues(t, 1, l.front.counters.suspensions.Load())
 	assert.Equal(t, <-answered, l.front.counters.legs[logic.NotSent].Load(), "attempts kept back before and after the list; answers %v", l.statuses)
 }
+
+func TestNoRequestToADrainWhileNewConfigurationsComeBehindAnEndedWatch(t *testing.T) {
+	t.Parallel()
+	ended := make(chan time.Time, 1)
+	l := newLeaseTrial(t, func(l *leaseTrial, n int64, c net.Conn) {
+		if n == 1 {
+			l.tellAndEnd(c, ended)
+		}
+		silent(c, nil)
+	})
+	from := <-ended
+	for n := range 2 {
+		next := newStandIn(t, silent)
+		time.AfterFunc(time.Until(from.Add(notifiedAfterEnded+leaseGrace+time.Duration(1+n)*500*time.Millisecond)), func() {
+			l.loop.postFirst(moved{next.Addr().String()})
+		})
+	}
+	l.expectDrainKept(from.Add(notifiedAfterEnded), leaseLooked)
+}
