Failing test: the suspension of a new process is spent before it serves

Cause: the lease of a new process runs from its start and not from its yes, which it gives 5 s later where no list is heard. The time for which attempts may be suspended is over by then, and nothing is held back 2 s behind the yes.

--- a/internal/sidecar/lease_calls_test.go
+++ b/internal/sidecar/lease_calls_test.go
@@ -18,23 +18,28 @@
 	"github.com/lynxjunction/lynxjunction/logic"
 )
 
-// stillLoop is a loop that nobody runs, with a list of one endpoint heard at 0, and calls that go nowhere.
+// stillLoop is a loop that nobody runs, with a list of one endpoint that a watch or another process has told at 0, and calls that go nowhere.
 type stillLoop struct {
 	*loop
 	from logic.Millis
 }
 
-func newStillLoop() *stillLoop {
+func newStillLoop(takesOver bool) *stillLoop {
 	ctx, end := context.WithCancel(context.Background())
 	end()
 	books, c := newSockets(100, &Counters{}), &Counters{}
-	t := logic.Terms{MustAsk: true, DrainGrace: millis(leaseGrace), LongestWait: millis(longestWait), AskWithin: 1000, Fleet: 1, Tick: 1,
+	t := logic.Terms{MustAsk: true, TakesOver: takesOver, DrainGrace: millis(leaseGrace), LongestWait: millis(longestWait), AskWithin: 1000, Fleet: 1, Tick: 1,
 		Products: []logic.Product{{Expected: 500, Abandon: 1000, Value: 1}},
 		Notified: logic.NotificationBounds{Reached: millis(notifiedAfterReached), Moved: millis(notifiedAfterMoved), Ended: millis(notifiedAfterEnded)}}
 	_, names := terms.From(nil, 1)
 	l := newLoop(ctx, t, nil, newUpstream(200, 10000, books, c), newLists("127.0.0.1:1", silence, names), hands.New("", zap.NewNop()), c, zap.NewNop())
 	s := &stillLoop{loop: l, from: l.now}
-	listing{inventory: inventory{version: 7, full: true, servers: []entry{{id: "s0", addr: "127.0.0.1:2", running: true}}}, watch: l.list.last}.happen(l)
+	list := inventory{version: 7, full: true, servers: []entry{{id: "s0", addr: "127.0.0.1:2", running: true}}}
+	if takesOver {
+		siblingTold{knowledge{inventory: list, discovery: l.list.addr, following: true}}.happen(l)
+	} else {
+		listing{inventory: list, watch: l.list.last}.happen(l)
+	}
 	return s
 }
 
@@ -53,7 +58,7 @@
 }
 
 func TestNoRequestToADrainWhileTheProcessHasNoDescriptorForACall(t *testing.T) {
-	s := newStillLoop()
+	s := newStillLoop(false)
 	s.fail(following, io.ErrUnexpectedEOF)
 	for after := logic.Millis(100); after <= millis(notifiedAfterEnded+leaseGrace); after += 100 {
 		s.at(after)
@@ -63,7 +68,7 @@
 }
 
 func TestTheLeaseStopsNoServiceWhileDiscoveryIsCutOff(t *testing.T) {
-	s := newStillLoop()
+	s := newStillLoop(false)
 	s.fail(following, syscall.ECONNRESET)
 	s.at(500)
 	listReached{watch: s.list.last}.happen(s.loop)
@@ -74,3 +79,13 @@
 	}
 	assert.False(t, s.module.Suspended())
 }
+
+func TestTheSuspensionOfANewProcessIsNotSpentBeforeItServes(t *testing.T) {
+	s := newStillLoop(true)
+	s.at(300)
+	listReached{watch: s.list.last}.happen(s.loop)
+	for after := logic.Millis(400); after <= millis(heardWait+notifiedAfterEnded+leaseGrace+leaseSlack); after += 50 {
+		s.at(after)
+	}
+	assert.True(t, s.module.Suspended())
+}
