Test that queued exchanges are not sent to a drain when room comes free

Legs that are out end well, turned away or reset after the drain is told; what waits in the module's queue goes to the other endpoint only.

--- /dev/null
+++ b/logic/drain_queued_test.go
@@ -0,0 +1,48 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Exchanges that wait for room when an endpoint is told to drain, or tried there before, are not sent there when its room comes free.
+func TestQueuedExchangesAreNotSentToADrain(t *testing.T) {
+	for _, outcome := range []Outcome{Satisfied, Full, Reset} {
+		b, r := begin("ab")
+		out := map[EndpointID][]ExchangeID{}
+		for n := 0; len(b.queue) < 20 && n < 500; n++ {
+			x := ExchangeID(fmt.Sprint(n))
+			if to := arrive(b, r, x, replayable); to != "" {
+				out[to] = append(out[to], x)
+			}
+		}
+		require.NotEmpty(t, b.queue)
+		require.NotEmpty(t, out["a"])
+		b.Listed("a", NotRunning, 0, 0, 0, 1, 0)
+		b.ListEnds(false)
+		for _, line := range r.take("send") {
+			assert.NotRegexp(t, " a$", line, "when it is told")
+		}
+		sent := 0
+		for _, from := range []EndpointID{"a", "b"} {
+			for _, x := range out[from] {
+				b.At(b.now + 5)
+				b.Ended(x, 0, outcome, 5, true)
+				for _, line := range r.take("send") {
+					sent++
+					assert.NotRegexp(t, " a$", line, "outcome %d", outcome)
+				}
+			}
+		}
+		beats(b, 5)
+		for _, line := range r.take("send") {
+			assert.NotRegexp(t, " a$", line, "outcome %d", outcome)
+		}
+		if outcome == Satisfied {
+			assert.NotZero(t, sent, "the room at the other is used")
+		}
+	}
+}
