--- a/cmd/lynxjunction/drain_lease_test.go
+++ b/cmd/lynxjunction/drain_lease_test.go
@@ -54,6 +54,7 @@
 	tells bool // watches tell changes
 
 	watches []chan string
+	silent  int // so many of them, from the first, say nothing more
 
 	gateMu sync.Mutex
 	gate   chan struct{} // calls wait until it is closed; nil for none
@@ -418,6 +419,7 @@
 	t.Parallel()
 	t.Run("undisturbed", func(t *testing.T) { playLease(t, waitBehindAnEndedWatch) })
 	t.Run("disturbed", func(t *testing.T) { playLease(t, waitBehindAnEndedWatchDisturbed) })
+	t.Run("silent watch", func(t *testing.T) { playLease(t, waitBehindASilentWatch) })
 }
 
 func newLeaseQueue() *callqueue.Queue { return callqueue.New(queuedWork, 0, callqueue.Wait) }
@@ -509,6 +511,35 @@
 	}
 }
 
+// waitBehindASilentWatch has watches fall silent in place of telling the drain, and calls answered after it counts as notified.
+func waitBehindASilentWatch(trial *leaseTrial) {
+	const answered = notifiedAfterReturn + 1500*time.Millisecond
+	for _, fleet := range []int{1, 40} {
+		trial.sidecar(fmt.Sprintf("fleet of %d", fleet), fleet, nil, telling)
+	}
+	trial.begin()
+	gates := []chan struct{}{}
+	fell := time.Now()
+	for _, s := range trial.sidecars {
+		gates = append(gates, s.discoveries[0].hold())
+		s.discoveries[0].set(s.list(2, false))
+		s.discoveries[0].fallSilent()
+	}
+	time.Sleep(time.Until(fell.Add(answered)))
+	for _, gate := range gates {
+		close(gate)
+	}
+	heard := fell.Add(answered + settleTime)
+	over := heard.Add(time.Second)
+	time.Sleep(time.Until(over.Add(leaseTimeout + answerGrace)))
+	for _, s := range trial.sidecars {
+		s.expectDrainKept(fell, notifiedAfterReturn, s.discoveries[0])
+		s.expectAnswered(fell, over)
+		s.expectServed(heard, over)
+		s.awaitVersion(2)
+	}
+}
+
 // allFaults are all faulty answers in a fixed order.
 func allFaults() []string {
 	return []string{"busy", "reset", "silent", "head only", "half a head", "half a list", "half a list, reset", "a list in drips"}
--- a/cmd/lynxjunction/drain_told_test.go
+++ b/cmd/lynxjunction/drain_told_test.go
@@ -176,12 +176,17 @@
 // watch tells the list, and then what tell says, to one call.
 func (d *leaseDiscovery) watch(rw http.ResponseWriter, r *http.Request) {
 	d.mu.Lock()
-	text, changes := d.list, make(chan string, 1)
+	text, changes, number := d.list, make(chan string, 1), len(d.watches)
 	d.watches = append(d.watches, changes)
 	d.mu.Unlock()
 	for {
-		io.WriteString(rw, text+"\n")
-		rw.(http.Flusher).Flush()
+		d.mu.Lock()
+		silent := number < d.silent
+		d.mu.Unlock()
+		if !silent {
+			io.WriteString(rw, text+"\n")
+			rw.(http.Flusher).Flush()
+		}
 		select {
 		case <-r.Context().Done():
 			return
@@ -192,6 +197,13 @@
 	}
 }
 
+// fallSilent has the open watches say nothing more.
+func (d *leaseDiscovery) fallSilent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = len(d.watches)
+}
+
 // tell says a change on watches, given by their numbers in the order in which they came; on all where none is given.
 func (d *leaseDiscovery) tell(change string, watches ...int) {
 	d.mu.Lock()
