--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -144,6 +144,7 @@
 	configured, reloaded time.Duration
 	current              watch // the watch in force
 	before               watch // of the discovery before, believed until the new one has told its list
+	siblingFollows       bool  // another process of this sidecar has a watch of the discovery in force
 	outage               outage
 	named                map[logic.EndpointID]bool // true: by the last whole list or since
 	addrs                map[logic.EndpointID]bool // had an address once
@@ -372,6 +373,16 @@
 	return open
 }
 
+// takenIn tells whether a call to the discovery in force stands open that it has taken in.
+func (d *lists) takenIn(now time.Time) bool {
+	for _, c := range d.calls {
+		if c.moves == d.moves && now.Sub(c.began) >= takenInAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // age is how long ago a call began that has told nothing yet; 0 for any other.
 func (d *lists) age(number int) time.Duration {
 	if c, open := d.calls[number]; open {
--- a/internal/sidecar/discovery_outage.go
+++ b/internal/sidecar/discovery_outage.go
@@ -73,6 +73,12 @@
 		errors.Is(e.Cause, io.EOF) || errors.Is(e.Cause, io.ErrUnexpectedEOF)
 }
 
+// unreachable tells that the network let no connection to the service come up, for no want of this process.
+func (e *callError) unreachable() bool {
+	var network net.Error
+	return e.Stage == connecting && errors.As(e.Cause, &network) && !ownFault(e.Cause)
+}
+
 // orderly tells that a running service ended the call, in good order or with what is no list, and not the network.
 func (e *callError) orderly() bool {
 	var network net.Error
--- a/internal/sidecar/list_events.go
+++ b/internal/sidecar/list_events.go
@@ -60,13 +60,13 @@
 	}
 	l.up.share(len(l.list.named))
 	l.module.ListEnds(e.fromDisk)
-	if first {
-		l.module.ListHeard(millis(took))
-	}
 	e.publish(l)
-	if whole = true; older && first {
+	switch whole = true; {
+	case first && older:
 		l.list.again()
-		l.module.ListLost(0, false)
+		l.module.ListStale()
+	case first:
+		l.module.ListHeard(millis(took))
 	}
 }
 
@@ -157,6 +157,9 @@
 		l.counters.listCallsFailed[failed.Stage].Add(1)
 	case e.watch == l.list.before.number:
 		l.list.before.end()
+		if failed.orderly() {
+			l.module.EarlierWatchEnded()
+		}
 		return
 	default:
 		return // no word of it counts any more
@@ -175,7 +178,9 @@
 		l.module.ListLost(millis(failed.silentFor()), failed.orderly())
 	case failed.refused():
 		l.counters.listCallsRefused.Add(1)
-		l.module.ListRefused(millis(failed.Took))
+		l.module.ListRefused(millis(failed.Took), l.list.takenIn(now))
+	case failed.unreachable():
+		l.module.ListUnreachable(millis(failed.Took))
 	default:
 		l.module.ListFailed()
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -492,6 +492,7 @@
 	if x == nil {
 		return
 	}
+	l.followLease()
 	left := x.abandon - l.now
 	if giveUpAfter == 0 || giveUpAfter > left {
 		giveUpAfter = left
@@ -598,7 +599,7 @@
 
 func (l *loop) Watch() {
 	openMost := logic.OpenCallsMost
-	if l.suspended.Load() {
+	if l.module != nil && l.module.Suspended() { // it calls first while it starts
 		openMost = logic.OpenCallsSuspended
 	}
 	if !l.list.call(l.ctx, openMost, l.postNews) {
--- a/internal/sidecar/sibling.go
+++ b/internal/sidecar/sibling.go
@@ -158,6 +158,7 @@
 		l.list.reloaded, l.list.configured = e.reloaded, e.reloaded
 	}
 	same := e.discovery == l.list.addr
+	l.list.siblingFollows = same && e.following
 	switch later := e.version > l.list.version; {
 	case same && !l.list.current.live() && e.version >= 0 && e.version != l.list.version && (e.following || later):
 		listing{inventory: e.inventory, watch: fromSibling}.happen(l)
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -257,6 +257,7 @@
 // open takes clients from now on, whatever is known.
 func (p *pair) open() {
 	p.waiting.Store(false)
+	p.front.loop.postFirst(asked(func(l *loop) { l.module.TookOver(l.list.siblingFollows) }))
 	p.yield(false)
 }
 
--- a/internal/virtual/golden_days_test.go
+++ b/internal/virtual/golden_days_test.go
@@ -513,7 +513,7 @@
 	i.calls++
 	call, called := i.calls, w.now
 	if w.listOff > 0 || i.free-w.now > queueMost {
-		i.later(way, func() { i.ListRefused(way) })
+		i.later(way, func() { i.ListRefused(way, false) })
 		return
 	}
 	i.free = max(i.free, w.now) + i.day.callWork
@@ -524,7 +524,7 @@
 		switch {
 		case i.watching:
 		case w.listOff > 0:
-			i.ListRefused(logic.Millis(w.now - called))
+			i.ListRefused(logic.Millis(w.now-called), false)
 		case call <= i.lapsed:
 		default:
 			i.called, i.sidecar.asking, i.sidecar.heard = called, true, -1
--- a/logic/discovery.go
+++ b/logic/discovery.go
@@ -139,7 +139,9 @@
 	if c.open == 0 {
 		c.waits = b.now
 	}
-	c.open = min(c.open+1, OpenCallsSuspended)
+	if most := b.openCallsMost(); c.open < most {
+		c.open++
+	}
 	b.callAfter(b.furtherCall() - b.now)
 }
 
@@ -168,6 +170,14 @@
 	return at
 }
 
+// openCallsMost is how many calls may be open now; beyond that the newest gives way.
+func (b *Balancer) openCallsMost() int {
+	if b.lease.suspended {
+		return OpenCallsSuspended
+	}
+	return OpenCallsMost
+}
+
 // hastenCall makes the next call earlier, if the time of a further one comes before.
 func (b *Balancer) hastenCall() {
 	if next := b.furtherCall(); next < b.calls.due {
@@ -270,9 +280,13 @@
 	return pause
 }
 
-// ListRefused says that a call has been turned away, so many milliseconds after it was made.
-func (b *Balancer) ListRefused(after Millis) {
+// ListRefused says that a call has been turned away, so many milliseconds after it was made. Beside is that another one which discovery
+// has taken in stands open: discovery is not down, its queue is full.
+func (b *Balancer) ListRefused(after Millis, beside bool) {
 	if b.mustAsk {
+		if !beside {
+			b.leaseRefused(after)
+		}
 		b.noteRefusal(after)
 	}
 	b.ListFailed()
@@ -281,7 +295,6 @@
 // noteRefusal keeps what a refusal tells of discovery's queue and of when it could be reached.
 func (b *Balancer) noteRefusal(after Millis) {
 	c := &b.calls
-	b.leaseRefused(after)
 	if after >= waitRefused {
 		c.longestRefused = max(c.longestRefused, after)
 		return
@@ -294,6 +307,23 @@
 	}
 }
 
+// ListUnreachable says that the network let no call come up, for so long. The next one comes as after any other failure.
+func (b *Balancer) ListUnreachable(after Millis) {
+	if b.mustAsk {
+		b.leaseRefused(after)
+	}
+	b.ListFailed()
+}
+
+// ListStale says that a call was answered with changes from before what is known: they vouch for nothing, and the whole list has to be
+// asked for.
+func (b *Balancer) ListStale() {
+	if b.mustAsk {
+		b.calls.open = 0
+		b.ListFailed()
+	}
+}
+
 // ListHeard says that the discovery in force has told its first list since a call, which took so long, and that its watch
 // goes on.
 func (b *Balancer) ListHeard(took Millis) {
--- a/logic/discovery_capacity_test.go
+++ b/logic/discovery_capacity_test.go
@@ -136,7 +136,7 @@
 func (d *queueDiscovery) refuse(c *queueCall) {
 	if c.process.close(c) {
 		c.process.b.At(d.now)
-		c.process.b.ListRefused(d.now - c.came)
+		c.process.b.ListRefused(d.now-c.came, false)
 	}
 }
 
--- a/logic/discovery_test.go
+++ b/logic/discovery_test.go
@@ -272,7 +272,7 @@
 	if d.refusals--; d.refusals >= 0 {
 		d.after(1, func() {
 			d.b.At(d.now)
-			d.b.ListRefused(1)
+			d.b.ListRefused(1, false)
 		})
 	}
 }
--- a/logic/lease.go
+++ b/logic/lease.go
@@ -7,9 +7,9 @@
 // any endpoint may be one that counts as drained. Requests wait meanwhile and go out once a list is heard, or are answered in
 // their time.
 //
-// A change counts only while discovery can be reached. A call that discovery took in shows that it can. A call refused after a wait,
-// or a row of calls refused at once, may mean that it is down: the time then begins anew. A watch that ended in good order was
-// ended by a service that runs, and may have ended in place of telling a change; one that was reset shows nothing of that kind.
+// A change counts only while discovery can be reached. A call that discovery took in shows that it can, and so does a watch that its
+// service ended in good order. Calls refused after a wait, or a row of calls refused at once, may mean that it is down: the time then
+// begins anew. A call that is refused while another one stands open means a full queue.
 package logic
 
 import "math"
@@ -23,6 +23,8 @@
 	suspensionMost Millis = 3500
 	// waitsOfACrowd is how many calls a crowded discovery may refuse after a wait before it counts as down.
 	waitsOfACrowd = 1
+	// waitsAfterReset is the same behind a watch that was reset, as the watches of a discovery are that goes down.
+	waitsAfterReset = 0
 	// leaseTimer is the timer of the lease's end and of the end of a suspension.
 	leaseTimer TimerID = 3
 )
@@ -31,7 +33,7 @@
 type lease struct {
 	bounds NotificationBounds
 	margin Millis // from a deadline to the lease's end: what of the grace may be used
-	sole   bool   // an agent serves this process alone: it is silent while its own discovery is down
+	sole   bool   // an agent serves this process alone: what it has counts at once, and it is silent while its own discovery is down
 
 	// The deadlines in force, each zero for none. A change that was missed counts as notified by the nearest.
 	reachedBy, movedBy, endedBy Millis
@@ -41,8 +43,10 @@
 	waits     int                  // calls that were refused after a wait, since the last list or configuration
 	refusedAt [faultsInARow]Millis // when the last calls were refused at once, the oldest first
 	maybeDown Millis               // the last time at which discovery may have been down; zero for none
+	orderly   bool                 // the watch was ended by its service
+	running   bool                 // so that the service runs, as far as no refusal has shown since
+	waitedAt  Millis               // when a call was refused after a wait last
 	suspended bool
-	spent     bool   // attempts were suspended for as long as may be since the last list
 	until     Millis // end of the suspension
 	alarm     Millis // of the timer that is set for the lease's end
 }
@@ -51,8 +55,21 @@
 func (b *Balancer) startLease(t Terms) {
 	b.lease = lease{bounds: t.Notified, margin: max(t.DrainGrace-leaseStall, 0), sole: t.SoleCaller}
 	b.lease.reachedBy = b.now + t.Notified.Reached
-	if t.TakesOver {
-		b.lease.endedBy = b.now + t.Notified.Ended
+	if t.SoleCaller {
+		b.lease.reachedBy = b.now
+	}
+	b.reviewLease()
+}
+
+// TookOver says that this process takes the clients of the one before, whose watch ends with it. Vouched is that the one before still
+// has a watch.
+func (b *Balancer) TookOver(vouched bool) {
+	if b.calls.watching {
+		return
+	}
+	b.lease.endedBy = b.now
+	if vouched {
+		b.lease.endedBy += b.lease.bounds.Ended
 	}
 	b.reviewLease()
 }
@@ -66,20 +83,42 @@
 
 // leaseWatchEnded says that the watch has ended that held the lease, so long after it was last heard.
 func (b *Balancer) leaseWatchEnded(silentFor Millis, orderly bool) {
-	b.lease.reachedBy = b.now - silentFor + b.lease.bounds.Reached
-	if orderly {
-		b.lease.endedBy = b.now + b.lease.bounds.Ended
+	l := &b.lease
+	l.orderly, l.running = orderly, orderly && !l.sole
+	l.reachedBy = nearer(l.reachedBy, b.now-silentFor+l.bounds.Reached)
+	if silentFor == 0 || orderly || silentFor < l.bounds.Ended {
+		l.endedBy = nearer(l.endedBy, b.now+l.bounds.Ended)
+	}
+	if l.sole {
+		l.reachedBy = nearer(l.reachedBy, b.now-silentFor)
 	}
 	b.reviewLease()
 }
 
+// EarlierWatchEnded says that the watch of the discovery before has ended, which was believed until the new one tells its list.
+func (b *Balancer) EarlierWatchEnded() {
+	if !b.calls.watching {
+		b.lease.endedBy = nearer(b.lease.endedBy, b.now+b.lease.bounds.Ended)
+		b.reviewLease()
+	}
+}
+
+// nearer is the nearer of a deadline that may be none, as zero, and another one.
+func nearer(by, other Millis) Millis {
+	if by == 0 {
+		return other
+	}
+	return min(by, other)
+}
+
 // leaseMoved says that a new configuration names another discovery. The first of a series sets the deadline.
 func (b *Balancer) leaseMoved() {
 	l := &b.lease
-	l.reached, l.refusals, l.waits = false, 0, 0
-	if l.movedBy == 0 {
-		l.movedBy = b.now + l.bounds.Moved
+	if l.reachedBy == 0 {
+		l.reached = false // what the discovery before owed still counts
 	}
+	l.refusals, l.waits = 0, 0
+	l.movedBy = nearer(l.movedBy, b.now+l.bounds.Moved)
 	b.reviewLease()
 }
 
@@ -90,27 +129,40 @@
 	l := &b.lease
 	waited, down := after >= waitRefused, b.now-after
 	if waited {
-		l.waits++
+		if down >= l.waitedAt { // calls that end together were one wait
+			l.waits++
+		}
+		l.waitedAt = b.now
 	} else {
 		l.refusals++
 		down = l.refusedAt[0]
 		copy(l.refusedAt[:], l.refusedAt[1:])
 		l.refusedAt[len(l.refusedAt)-1] = b.now
 	}
+	l.judgeReach(waited, down, b.now)
+	b.reviewLease()
+}
+
+// judgeReach draws from refusals whether discovery may be down, which it surely was at some time.
+func (l *lease) judgeReach(waited bool, surelyDown, now Millis) {
 	row := l.refusals > faultsInARow
-	if waited || row {
-		l.reached, l.endedBy = false, 0
-	}
+	l.running = false
 	if row || l.waits > waitsOfACrowd {
-		l.movedBy = 0
+		l.endedBy, l.movedBy = 0, 0
 	}
-	if !l.reached {
-		l.maybeDown = b.now
+	if !l.orderly && l.waits > waitsAfterReset {
+		l.endedBy = 0
 	}
-	if !l.reached && (l.reachedBy > 0 || l.movedBy == 0) {
-		l.reachedBy = max(l.reachedBy, down+l.bounds.Reached)
+	if row || waited && (!l.suspended || l.endedBy == 0 && l.movedBy == 0) {
+		l.reached = false
+	}
+	if l.reached {
+		return
+	}
+	l.maybeDown = now
+	if l.reachedBy > 0 || l.movedBy == 0 {
+		l.reachedBy = max(l.reachedBy, surelyDown+l.bounds.Reached)
 	}
-	b.reviewLease()
 }
 
 // ListReached says that discovery has taken in a call: it has kept it open for a while without an answer, or has begun one.
@@ -151,15 +203,17 @@
 	if !b.mustAsk || l.bounds.Reached <= 0 {
 		return
 	}
-	over := b.now >= l.ends()
+	over, reached := b.now >= l.ends(), l.reached || l.running
 	switch {
 	case l.suspended && b.now >= l.until:
-		l.spent = true
 		b.Note("no list is heard; working from the last list again")
+		l.letGo(b.now)
 		b.resume()
-	case l.suspended && (!over || !l.reached):
+		b.wakeAtLeaseEnd()
+	case l.suspended && (!over || !reached):
 		b.resume()
-	case !l.suspended && over && l.reached && !l.spent:
+		b.wakeAtLeaseEnd()
+	case !l.suspended && over && reached:
 		l.suspended, l.until = true, l.suspensionEnds(b.now)
 		b.Wake(l.until-b.now, leaseTimer)
 		b.hastenCall()
@@ -169,6 +223,15 @@
 	}
 }
 
+// letGo drops the deadlines that are over: attempts were suspended for them for as long as may be.
+func (l *lease) letGo(now Millis) {
+	for _, by := range []*Millis{&l.reachedBy, &l.movedBy, &l.endedBy} {
+		if now >= *by+l.margin {
+			*by = 0
+		}
+	}
+}
+
 // wakeAtLeaseEnd sets the timer, unless one is set that comes no later.
 func (b *Balancer) wakeAtLeaseEnd() {
 	l, end := &b.lease, b.lease.ends()
--- a/logic/lease_deadlines_test.go
+++ b/logic/lease_deadlines_test.go
@@ -45,7 +45,7 @@
 func TestOneRefusalAfterAWaitPutsOffNoDeadlineOfAWatchsEnd(t *testing.T) {
 	w := lostWatch()
 	w.play(10400)
-	w.b.ListRefused(400)
+	w.b.ListRefused(400, false)
 	w.play(11000)
 	w.b.ListReached(false)
 	w.play(13500)
@@ -55,7 +55,7 @@
 func TestOneRefusalAfterAWaitResumesNoSuspendedAttempts(t *testing.T) {
 	w := lostWatch()
 	w.play(13000)
-	w.b.ListRefused(2900)
+	w.b.ListRefused(2900, false)
 	w.play(13200)
 	w.b.ListReached(false)
 	w.play(14500)
@@ -69,8 +69,8 @@
 	w.play(10300)
 	w.b.ListReached(false)
 	w.play(13000)
-	w.b.ListRefused(3000)
-	w.b.ListRefused(1500)
+	w.b.ListRefused(3000, false)
+	w.b.ListRefused(1500, false)
 	w.play(13400)
 	w.b.ListReached(false)
 	w.play(15500)
@@ -140,7 +140,7 @@
 	w.b.ListLost(0, false)
 	for range faultsInARow {
 		w.play(w.now + 500)
-		w.b.ListRefused(1)
+		w.b.ListRefused(1, false)
 	}
 	w.play(12300)
 	w.b.ListReached(false)
--- a/logic/lease_test.go
+++ b/logic/lease_test.go
@@ -86,7 +86,7 @@
 func (w *leaseWorld) refuseEvery(pause, end Millis) {
 	for w.now+pause < end {
 		w.play(w.now + pause)
-		w.b.ListRefused(1)
+		w.b.ListRefused(1, false)
 	}
 	w.play(end)
 }
@@ -178,7 +178,8 @@
 	w.b.ListReached(false)
 	w.play(60000)
 	assert.Zero(t, w.sentIn(12260, 12250+suspensionMost))
-	assert.InDelta(t, (60000-12250-float64(suspensionMost))/float64(leaseRequestEvery), w.sentIn(12250+suspensionMost, 60000), 60)
+	assert.Zero(t, w.sentIn(16260, 16250+suspensionMost), "for the later deadline")
+	assert.InDelta(t, (60000-16250-float64(suspensionMost))/float64(leaseRequestEvery), w.sentIn(16250+suspensionMost, 60000), 60)
 }
 
 func TestAnAgentsSilenceEndsNoLease(t *testing.T) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -513,6 +513,8 @@
 	case b.furtherLeg(x):
 		b.retries--
 		b.route(x)
+	case b.lease.suspended && len(x.legs) < b.maxLegs && !slices.ContainsFunc(x.legs, func(l leg) bool { return !l.neverRan }):
+		b.lineUp(x) // it goes out with the list
 	default:
 		b.giveUp(x, Legged)
 	}
@@ -809,7 +811,7 @@
 	}
 	x.next, b.queue = stepQueued, append(b.queue, x)
 	b.wakeFor(x, max(min(x.horizon-b.now-Millis(x.product.usual), (x.horizon-b.now)/2), 1), waitOver)
-	for len(b.queue) > 0 && b.samples > 0 {
+	for len(b.queue) > 0 && b.samples > 0 && !b.lease.suspended {
 		least := slices.MinFunc(b.queue, b.byRank)
 		wait := float64(len(b.queue)) * b.usual / math.Max(float64(b.out)+b.others*queueOthers, 1)
 		if wait <= queueShare*float64(least.horizon-b.now) {
