--- /dev/null
+++ b/logic/discovery_pacing_test.go
@@ -0,0 +1,529 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// answerFault is what is wrong with an answer of discovery.
+type answerFault int
+
+const (
+	refusedAnswer answerFault = iota // turned away at once
+	brokenAnswer                     // the connection ends at once
+	silentAnswer                     // taken in its turn, and never answered
+	halfAnswer                       // a head or half a list in its turn, then silence, which the sidecar gives up after halfAnswerWait
+	mixedAnswers                     // each one of the above, by chance
+	answerFaults
+)
+
+func (f answerFault) String() string {
+	return [answerFaults]string{"refused", "broken", "silent", "half", "mixed"}[f]
+}
+
+// pacingEvent is why a list has to be heard.
+type pacingEvent int
+
+const (
+	watchesEnd pacingEvent = iota
+	backAfter4
+	backAfter10
+	newConfiguration
+	pacingEvents
+)
+
+func (e pacingEvent) String() string {
+	return [pacingEvents]string{"end", "back4", "back10", "moved"}[e]
+}
+
+const (
+	shortOutage Millis = 4000
+	longOutage  Millis = 10000
+	// boundSlack is what the rules leave beyond a bound: the grace and the slack on sockets.
+	boundSlack     Millis = 500
+	halfAnswerWait Millis = 500
+	refusalTakes   Millis = 2
+	breakTakes     Millis = 3
+	cheapWork      Millis = 3 // of a call to a discovery that is not crowded
+	neverAfter     Millis = 30000
+	moveSpread     Millis = 1000 // over which the processes get a new configuration
+	endSpread      Millis = 50   // over which their watches end
+	mostInARow            = 8
+	// processesACell is the least number of processes whose calls a cell sums up.
+	processesACell = 40
+)
+
+// pacingCell is one world that a policy is judged in.
+type pacingCell struct {
+	queue        queueKind
+	subscription bool // a refusal ends all open calls of its process, whatever the queue
+	cheapBefore  bool // calls took cheapWork before the event
+	callers      int
+	round        Millis // work of one call of each process
+	event        pacingEvent
+	fault        answerFault
+	inARow       int // faulty answers to each process
+}
+
+func (c pacingCell) String() string {
+	return fmt.Sprintf("%d,%v,%v,%d,%v,%v,%v,%d", c.queue, c.subscription, c.cheapBefore, c.callers, c.round, c.event, c.fault, c.inARow)
+}
+
+// bound is the time after the event within which a list has to be heard.
+func (c pacingCell) bound() Millis {
+	switch {
+	case c.event == newConfiguration:
+		return 4000 + boundSlack
+	case c.event == watchesEnd && c.inARow <= 1:
+		return 2000 + boundSlack
+	}
+	return 6000 + boundSlack
+}
+
+// pacedDiscovery works through calls in turn, those that were given up too.
+type pacedDiscovery struct {
+	eventQueue
+	pacingCell
+	draw      *rand.Rand
+	work      Millis // of a call
+	down      bool
+	busy      bool
+	waiting   []*pacedCall
+	processes []*pacedProcess
+}
+
+// pacedCall is a call in its queue.
+type pacedCall struct {
+	process *pacedProcess
+	came    Millis
+	fault   answerFault // answerFaults for none
+	ended   bool        // nobody waits for its answer any more
+	moot    bool        // dropped: costs no work
+}
+
+// pacedProcess is one of its callers.
+type pacedProcess struct {
+	Outgoing
+	d       *pacedDiscovery
+	b       *Balancer
+	open    []*pacedCall
+	faulty  int // answers to come
+	calls   int
+	heard   bool
+	heardAt Millis
+	since   Millis   // of the event
+	lag     []Millis // of each list behind the watch's end before it
+	pending []Millis // when changes that are not heard yet have to be
+	late    int      // changes that were heard after that
+}
+
+func newPacedDiscovery(cell pacingCell, seed uint64) *pacedDiscovery {
+	d := &pacedDiscovery{eventQueue: eventQueue{now: 1000}, pacingCell: cell, draw: rand.New(rand.NewPCG(seed, 61)),
+		work: cell.round / Millis(cell.callers)}
+	before := d.work
+	if cell.cheapBefore {
+		before = cheapWork
+	}
+	for range cell.callers {
+		p := &pacedProcess{Outgoing: nowhere{}, d: d, heard: true}
+		p.b = New(Terms{Seed: d.draw.Uint64(), Fleet: cell.callers, MustAsk: true, Knows: true, AskWithin: 10000, LongestWait: 1200,
+			Notified: NotificationBounds{Reached: 6000, Moved: 4000, Ended: 2000}}, p, d.now)
+		p.b.ListEnds(false) // one list at the start of the fleet, one at a quiet time
+		p.b.ListHeard(before * Millis(1+d.draw.IntN(cell.callers)))
+		p.b.ListHeard(before)
+		d.processes = append(d.processes, p)
+	}
+	d.playUntil(d.now + 20000)
+	return d
+}
+
+func (p *pacedProcess) Wake(after Millis, t TimerID) {
+	if t == 1 {
+		p.d.after(after, func() { p.b.At(p.d.now); p.b.Alarm(1) })
+	}
+}
+
+// Watch makes a call, as the sidecar does: the newest of too many open ones gives way.
+func (p *pacedProcess) Watch() {
+	d := p.d
+	if p.heard {
+		return
+	}
+	if len(p.open) >= OpenCallsMost {
+		p.close(p.open[len(p.open)-1])
+	}
+	p.calls++
+	c := &pacedCall{process: p, came: d.now, fault: answerFaults}
+	p.open = append(p.open, c)
+	switch crowded := d.queue == refusingAtOnce && Millis(len(d.waiting))*d.work > queuePatience; {
+	case d.down:
+		d.after(refusalTakes, func() { d.refuse(c, d.subscription) })
+		return
+	case crowded:
+		d.after(refusalTakes, func() { d.refuse(c, true) })
+		return
+	case p.faulty > 0:
+		p.faulty--
+		if c.fault = d.fault; c.fault == mixedAnswers {
+			c.fault = answerFault(d.draw.IntN(int(mixedAnswers)))
+		}
+	}
+	switch c.fault {
+	case refusedAnswer:
+		d.after(refusalTakes, func() { d.refuse(c, d.subscription) })
+	case brokenAnswer:
+		d.after(breakTakes, func() { d.fail(c) })
+	default:
+		d.enqueue(c)
+	}
+}
+
+func (d *pacedDiscovery) enqueue(c *pacedCall) {
+	d.waiting = append(d.waiting, c)
+	d.after(AnswerPatience, func() { d.fail(c) })
+	if d.queue == droppingWaits {
+		d.after(queuePatience, func() {
+			if at := slices.Index(d.waiting, c); at > 0 || at == 0 && !d.busy {
+				c.moot = true
+				d.refuse(c, d.subscription)
+			}
+		})
+	}
+	if !d.busy {
+		d.serve()
+	}
+}
+
+// close takes a call from the open ones; false if it is none.
+func (p *pacedProcess) close(c *pacedCall) bool {
+	if c.ended {
+		return false
+	}
+	c.ended = true
+	p.open = slices.DeleteFunc(p.open, func(o *pacedCall) bool { return o == c })
+	return true
+}
+
+func (d *pacedDiscovery) fail(c *pacedCall) {
+	if c.process.close(c) {
+		c.process.b.At(d.now)
+		c.process.b.ListFailed()
+	}
+}
+
+func (d *pacedDiscovery) refuse(c *pacedCall, all bool) {
+	calls := []*pacedCall{c}
+	if all {
+		calls = append(calls, c.process.open...)
+	}
+	for _, c := range calls {
+		if c.process.close(c) {
+			c.process.b.At(d.now)
+			c.process.b.ListRefused(d.now - c.came)
+		}
+	}
+}
+
+func (d *pacedDiscovery) serve() {
+	d.busy = false
+	for len(d.waiting) > 0 && d.waiting[0].moot {
+		d.waiting = d.waiting[1:]
+	}
+	if len(d.waiting) == 0 || d.down {
+		return
+	}
+	c := d.waiting[0]
+	d.busy = true
+	d.after(d.work, func() {
+		if len(d.waiting) > 0 && d.waiting[0] == c {
+			d.waiting = d.waiting[1:]
+			d.answer(c)
+		}
+		d.serve()
+	})
+}
+
+func (d *pacedDiscovery) answer(c *pacedCall) {
+	p := c.process
+	switch {
+	case c.ended || c.fault == silentAnswer:
+		return
+	case c.fault == halfAnswer:
+		d.after(halfAnswerWait, func() { d.fail(c) })
+		return
+	}
+	p.heard, p.heardAt = true, d.now
+	for _, other := range slices.Clone(p.open) {
+		p.close(other)
+	}
+	for _, bound := range p.pending {
+		if d.now > bound {
+			p.late++
+		}
+	}
+	p.pending, p.lag = p.pending[:0], append(p.lag, d.now-p.since)
+	p.b.At(d.now)
+	p.b.ListEnds(false)
+	p.b.ListHeard(d.now - c.came)
+}
+
+// lose ends a process's watch.
+func (p *pacedProcess) lose() {
+	p.heard, p.since, p.faulty = false, p.d.now, p.d.inARow
+	p.b.At(p.d.now)
+	p.b.ListLost(0)
+}
+
+func (p *pacedProcess) move() {
+	p.heard, p.since, p.faulty = false, p.d.now, p.d.inARow
+	p.b.At(p.d.now)
+	p.b.ListMoved()
+}
+
+// play has the cell's event happen, and plays on until nobody can be waited for.
+func (d *pacedDiscovery) play() {
+	outage := Millis(0)
+	switch d.event {
+	case backAfter4:
+		outage = shortOutage
+	case backAfter10:
+		outage = longOutage
+	}
+	d.down = outage > 0
+	for _, p := range d.processes {
+		if d.event == newConfiguration {
+			d.after(moveSpread*Millis(d.draw.Float64()), p.move)
+			continue
+		}
+		d.after(endSpread*Millis(d.draw.Float64()), p.lose)
+	}
+	if outage > 0 {
+		d.playUntil(d.now + outage)
+		d.down = false
+		for _, p := range d.processes {
+			p.since, p.calls, p.faulty = d.now, 0, d.inARow
+		}
+	}
+	d.playUntil(d.now + neverAfter)
+}
+
+// pacingResult is what the calls of the processes of some cells came to.
+type pacingResult struct{ processes, late, never, calls int }
+
+func (r *pacingResult) add(o pacingResult) {
+	r.processes, r.late, r.never, r.calls = r.processes+o.processes, r.late+o.late, r.never+o.never, r.calls+o.calls
+}
+
+func (r pacingResult) String() string {
+	n := float64(r.processes)
+	return fmt.Sprintf("%.2f,%.2f,%.2f", 100*float64(r.late)/n, 100*float64(r.never)/n, float64(r.calls)/n)
+}
+
+func playPacing(cell pacingCell, seed uint64) (r pacingResult) {
+	for r.processes < processesACell {
+		d := newPacedDiscovery(cell, seed<<32+uint64(r.processes))
+		d.play()
+		for _, p := range d.processes {
+			r.processes++
+			r.calls += p.calls
+			if !p.heard {
+				r.never++
+			}
+			if !p.heard || p.heardAt-p.since > cell.bound() {
+				r.late++
+			}
+		}
+	}
+	return r
+}
+
+// pacingWorkers is how many cells are played at once.
+const pacingWorkers = 2
+
+// forEachCell plays cells and hands on the results in their order.
+func forEachCell[Cell, Result any](cells []Cell, play func(Cell) Result, each func(Cell, Result)) {
+	results := make([]Result, len(cells))
+	var working sync.WaitGroup
+	for first := range pacingWorkers {
+		working.Go(func() {
+			for n := first; n < len(cells); n += pacingWorkers {
+				results[n] = play(cells[n])
+			}
+		})
+	}
+	working.Wait()
+	for n, cell := range cells {
+		each(cell, results[n])
+	}
+}
+
+var (
+	pacingCallers = []int{1, 5, 12, 40, 100}
+	pacingRounds  = []Millis{0, 500, 1500, 2400, 3000, 4800, 5800}
+)
+
+// pacingCells are the cells of one group.
+func pacingCells(group pacingCell) (cells []pacingCell) {
+	for _, group.callers = range pacingCallers {
+		for _, group.round = range pacingRounds {
+			for group.fault = range answerFaults {
+				for group.inARow = range mostInARow + 1 {
+					if group.inARow > 0 || group.fault == 0 {
+						cells = append(cells, group)
+					}
+				}
+			}
+		}
+	}
+	return cells
+}
+
+// BenchmarkPacingOfCalls judges when discovery is called: the share of processes that hear their list late or never and the calls
+// that each makes, a line for each group of cells, one for each number of faulty answers in it, and with -v one for each cell (queue,
+// subscription, cheap before, callers, work of a round, event, fault, faulty answers; late in per cent, never, calls).
+func BenchmarkPacingOfCalls(b *testing.B) {
+	for event := range pacingEvents {
+		for queue := range queueKinds {
+			for _, subscription := range []bool{false, true} {
+				for _, cheapBefore := range []bool{false, true} {
+					group := pacingCell{queue: queue, subscription: subscription, cheapBefore: cheapBefore, event: event}
+					name := fmt.Sprintf("%v/%v/subscription=%v/cheapBefore=%v", event, queue, subscription, cheapBefore)
+					b.Run(name, func(b *testing.B) {
+						for b.Loop() {
+							group.report(b)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+func (c pacingCell) report(b *testing.B) {
+	var all pacingResult
+	var by [mostInARow + 1]pacingResult
+	forEachCell(pacingCells(c), func(cell pacingCell) pacingResult { return playPacing(cell, 1) }, func(cell pacingCell, r pacingResult) {
+		all.add(r)
+		by[cell.inARow].add(r)
+		if testing.Verbose() {
+			b.Logf("cell,%v,%v", cell, r)
+		}
+	})
+	for inARow, r := range by {
+		b.ReportMetric(100*float64(r.late)/float64(r.processes), fmt.Sprintf("late-%%-at-%d-faults", inARow))
+	}
+	b.ReportMetric(100*float64(all.late)/float64(all.processes), "late-%")
+	b.ReportMetric(100*float64(all.never)/float64(all.processes), "never-%")
+	b.ReportMetric(float64(all.calls)/float64(all.processes), "calls/process")
+}
+
+// replacementCell is a fleet whose watches end at each change in place of telling it, while one endpoint after another is replaced.
+type replacementCell struct {
+	queue        queueKind
+	subscription bool
+	work         Millis // of a call
+	endWithin    Millis // of a change
+	inARow       int    // answers that break off behind each watch
+}
+
+const (
+	replacements              = 20
+	replacementSpacing Millis = 1000
+	replacementCallers        = 40
+)
+
+// replacementResult is what its calls came to.
+type replacementResult struct {
+	changes, late, calls int
+	lag                  []Millis // of the lists behind the watches' ends
+}
+
+func (r replacementResult) quantile(q float64) Millis {
+	return r.lag[int(math.Ceil(q*float64(len(r.lag))))-1]
+}
+
+func playReplacements(cell replacementCell, seeds int) (r replacementResult) {
+	for seed := range uint64(seeds) {
+		d := newPacedDiscovery(pacingCell{queue: cell.queue, subscription: cell.subscription, callers: replacementCallers,
+			round: cell.work * replacementCallers, fault: brokenAnswer, inARow: cell.inARow}, seed+1000)
+		for n := range replacements {
+			d.after(replacementSpacing*(Millis(n)+Millis(d.draw.Float64())/2), func() { d.replace(cell.endWithin) })
+		}
+		d.playUntil(d.now + replacements*replacementSpacing + neverAfter)
+		for _, p := range d.processes {
+			r.changes += replacements
+			r.late += p.late + len(p.pending)
+			r.calls += p.calls
+			r.lag = append(r.lag, p.lag...)
+		}
+	}
+	slices.Sort(r.lag)
+	return r
+}
+
+// replace makes a change: each open watch ends soon after it, and it counts as notified a while after that.
+func (d *pacedDiscovery) replace(endWithin Millis) {
+	changed := d.now
+	for _, p := range d.processes {
+		if !p.heard {
+			p.pending = append(p.pending, changed+6000+boundSlack)
+			continue
+		}
+		heardAt := p.heardAt
+		ends := endWithin * Millis(d.draw.Float64())
+		d.after(ends, func() {
+			switch {
+			case p.heard && p.heardAt == heardAt:
+				p.lose()
+				p.pending = append(p.pending, min(changed+6000, d.now+2000)+boundSlack)
+			case !p.heard: // the watch has ended because of another change
+				p.pending = append(p.pending, min(changed+6000, p.since+2000)+boundSlack)
+			}
+		})
+	}
+}
+
+// BenchmarkReplacementsWithoutWatches is the world of issue 61: the share of changes that are heard late, the calls behind each, and how long
+// behind a watch's end lists are heard.
+func BenchmarkReplacementsWithoutWatches(b *testing.B) {
+	for queue := range queueKinds {
+		for _, subscription := range []bool{false, true} {
+			for _, work := range []Millis{30, 50, 60, 70, 100} {
+				for _, endWithin := range []Millis{0, 500, 2500} {
+					for _, inARow := range []int{0, 1} {
+						cell := replacementCell{queue, subscription, work, endWithin, inARow}
+						b.Run(fmt.Sprintf("%v/subscription=%v/work=%v/endWithin=%v/faults=%d", queue, subscription, work, endWithin, inARow), func(b *testing.B) {
+							for b.Loop() {
+								r := playReplacements(cell, 10)
+								b.ReportMetric(100*float64(r.late)/float64(r.changes), "late-%")
+								b.ReportMetric(float64(r.calls)/float64(len(r.lag)), "calls/list")
+								b.ReportMetric(float64(r.quantile(0.5)), "median-ms")
+								b.ReportMetric(float64(r.quantile(0.99)), "p99-ms")
+								b.ReportMetric(float64(r.quantile(1)), "last-ms")
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+// Where the work of a round leaves room, a change that ends all watches is heard in the time that is owed behind them.
+func TestReplacementsBehindEndedWatchesAreHeard(t *testing.T) {
+	for queue := range queueKinds {
+		for _, subscription := range []bool{false, true} {
+			for _, endWithin := range []Millis{0, 2500} {
+				cell := replacementCell{queue: queue, subscription: subscription, work: 30, endWithin: endWithin}
+				r := playReplacements(cell, 3)
+				assert.Zero(t, r.late, "%+v: of %d changes, last after %v", cell, r.changes, r.quantile(1))
+			}
+		}
+	}
+}
