--- a/logic/discovery_pacing_test.go
+++ b/logic/discovery_pacing_test.go
@@ -115,6 +115,7 @@
 	open    []*pacedCall
 	faulty  int // answers to come
 	calls   int
+	refused int // calls while discovery was down
 	heard   bool
 	heardAt Millis
 	since   Millis   // of the event
@@ -307,22 +308,23 @@
 		d.playUntil(d.now + outage)
 		d.down = false
 		for _, p := range d.processes {
-			p.since, p.calls, p.faulty = d.now, 0, d.inARow
+			p.refused, p.since, p.calls, p.faulty = p.calls, d.now, 0, d.inARow
 		}
 	}
 	d.playUntil(d.now + neverAfter)
 }
 
 // pacingResult is what the calls of the processes of some cells came to.
-type pacingResult struct{ processes, late, never, calls int }
+type pacingResult struct{ processes, late, never, calls, whileDown int }
 
 func (r *pacingResult) add(o pacingResult) {
 	r.processes, r.late, r.never, r.calls = r.processes+o.processes, r.late+o.late, r.never+o.never, r.calls+o.calls
+	r.whileDown += o.whileDown
 }
 
 func (r pacingResult) String() string {
 	n := float64(r.processes)
-	return fmt.Sprintf("%.2f,%.2f,%.2f", 100*float64(r.late)/n, 100*float64(r.never)/n, float64(r.calls)/n)
+	return fmt.Sprintf("%.2f,%.2f,%.2f,%.2f", 100*float64(r.late)/n, 100*float64(r.never)/n, float64(r.calls)/n, float64(r.whileDown)/n)
 }
 
 func playPacing(cell pacingCell, seed uint64) (r pacingResult) {
@@ -331,7 +333,7 @@
 		d.play()
 		for _, p := range d.processes {
 			r.processes++
-			r.calls += p.calls
+			r.calls, r.whileDown = r.calls+p.calls, r.whileDown+p.refused
 			if !p.heard {
 				r.never++
 			}
@@ -385,8 +387,9 @@
 }
 
 // BenchmarkPacingOfCalls judges when discovery is called: the share of processes that hear their list late or never and the calls
-// that each makes, a line for each group of cells, one for each number of faulty answers in it, and with -v one for each cell (queue,
-// subscription, cheap before, callers, work of a round, event, fault, faulty answers; late in per cent, never, calls).
+// that each makes, a line for each group of cells, with a share for each number of faulty answers, and with -v one for each cell
+// (queue, subscription, cheap before, callers, work of a round, event, fault, faulty answers; late and never in per cent, calls,
+// calls while discovery was down).
 func BenchmarkPacingOfCalls(b *testing.B) {
 	for event := range pacingEvents {
 		for queue := range queueKinds {
@@ -421,6 +424,7 @@
 	b.ReportMetric(100*float64(all.late)/float64(all.processes), "late-%")
 	b.ReportMetric(100*float64(all.never)/float64(all.processes), "never-%")
 	b.ReportMetric(float64(all.calls)/float64(all.processes), "calls/process")
+	b.ReportMetric(float64(all.whileDown)/float64(all.processes), "calls-while-down/process")
 }
 
 // replacementCell is a fleet whose watches end at each change in place of telling it, while one endpoint after another is replaced.
@@ -489,8 +493,8 @@
 	}
 }
 
-// BenchmarkReplacementsWithoutWatches is the world of issue 61: the share of changes that are heard late, the calls behind each, and how long
-// behind a watch's end lists are heard.
+// BenchmarkReplacementsWithoutWatches is the world of issue 61: the share of changes that are heard late, the calls for a list, and
+// how long behind a watch's end lists are heard.
 func BenchmarkReplacementsWithoutWatches(b *testing.B) {
 	for queue := range queueKinds {
 		for _, subscription := range []bool{false, true} {
