No further call at a watch's end where answers take long; silent calls of large fleets are left less

Change: it is made only where answers take up to 0.5 s or one was at fault since the last list; the work of a call that is not known is at most 12 s over the callers, which leaves an open call 3.05 s and that.

--- a/logic/discovery.go
+++ b/logic/discovery.go
@@ -20,11 +20,13 @@
 
 	// A further call is made when an open one has waited for furtherAfter times the work of a round of the whole fleet, as far
 	// as that is known: for furtherSoon at least, and at most for queueWait and the work of the call itself. A service refuses
-	// calls that would wait longer than that, as far as we have met one. unknownWork stands for the work before the first answer.
+	// calls that would wait longer than that, as far as we have met one. unknownWork stands for the work before the first answer;
+	// where callers are many it is less: a round of the fleet takes no longer than unknownRound times Reached.
 	furtherAfter         = 1.5
 	furtherSoon   Millis = 1100
 	queueWait     Millis = 3050
 	unknownWork   Millis = 1950
+	unknownRound         = 2.0
 	refusedLonger        = 2.0 // in times of the wait after which a call was refused
 	// Once a call has waited for so long a queue is no reason any more, and further ones follow one another in furtherSpacing.
 	furtherSpacing Millis = 600
@@ -36,6 +38,8 @@
 	deadlineSpacing  Millis = 300
 	movedSpacing     Millis = 600 // the same behind a new configuration, which leaves less time than a queue may take
 	deadlineWorkMost Millis = 2000
+	// endedLatencyMost is the latency up to which a call made when a watch's end counts as notified is answered within the grace.
+	endedLatencyMost Millis = 500
 	// waitRefused is the wait in milliseconds from which on a refused call has stood in a queue.
 	waitRefused Millis = 300
 	// latencyFade is what is left of the longest latency at the next answer.
@@ -102,6 +106,7 @@
 	// Since the last list: calls in a row that were refused at once, and the longest time after which one was refused.
 	refusals       int
 	longestRefused Millis
+	failed         bool // a call has ended with no list since the last one
 }
 
 // startCalls makes the first call, or sets its time.
@@ -164,7 +169,7 @@
 		reached = max(reached, c.waits+queueWait) // the whole fleet may have started with us
 	}
 	at = min(at, reached)
-	if end := c.owed[owedEnded]; end > b.now && c.refusals == 0 && c.longest*furtherAfter <= c.bounds.Ended {
+	if end := c.owed[owedEnded]; end > b.now && c.refusals == 0 && b.endedCallHelps() {
 		at = min(at, max(end, c.called+deadlineSpacing))
 	}
 	return at
@@ -185,6 +190,13 @@
 	}
 }
 
+// endedCallHelps tells whether a further call when a watch's end counts as notified may be answered in time, or makes up for an answer
+// that was at fault. Any other only lengthens the queue that the fleet's calls wait in.
+func (b *Balancer) endedCallHelps() bool {
+	c := &b.calls
+	return c.longest <= endedLatencyMost || c.failed && c.longest*furtherAfter <= c.bounds.Ended
+}
+
 // queueTime is how long an open call may stand in discovery's queue: the work of a round of the whole fleet, if that is known. The
 // shortest latency is the work of a call, or more.
 func (b *Balancer) queueTime() Millis {
@@ -195,7 +207,7 @@
 	case c.callers == 1:
 		work = 0 // no others wait there
 	default:
-		work = unknownWork
+		work = min(unknownWork, unknownRound*c.bounds.Reached/c.callers)
 	}
 	longest := queueWait + work
 	if c.longestRefused > 0 {
@@ -256,6 +268,7 @@
 	if !b.mustAsk {
 		return
 	}
+	b.calls.failed = true
 	pause := b.askWait * Millis(0.5+b.chance())
 	if b.askWait < b.askMost && 2*b.askWait >= b.askMost {
 		b.Note("list service fails; working from the last list")
@@ -330,7 +343,7 @@
 	c := &b.calls
 	c.watching, c.open = true, 0
 	c.longest, c.shortest = max(took, c.longest*latencyFade), min(took, c.shortest)
-	c.refusals, c.longestRefused = 0, 0
+	c.refusals, c.longestRefused, c.failed = 0, 0, false
 	c.owed, c.due = [deadlines]Millis{}, Millis(math.Inf(1))
 	b.leaseHeard()
 }
--- a/logic/discovery_pacing_test.go
+++ b/logic/discovery_pacing_test.go
@@ -228,7 +228,7 @@
 	for _, c := range calls {
 		if c.process.close(c) {
 			c.process.b.At(d.now)
-			c.process.b.ListRefused(d.now - c.came)
+			c.process.b.ListRefused(d.now-c.came, false)
 		}
 	}
 }
@@ -283,7 +283,7 @@
 func (p *pacedProcess) lose() {
 	p.heard, p.since, p.faulty = false, p.d.now, p.d.inARow
 	p.b.At(p.d.now)
-	p.b.ListLost(0)
+	p.b.ListLost(0, false)
 }
 
 func (p *pacedProcess) move() {
