--- a/logic/discovery.go
+++ b/logic/discovery.go
@@ -153,8 +153,8 @@
 // furtherCall is when a further call is made, if none of the open ones is answered before.
 func (b *Balancer) furtherCall() Millis {
 	c := &b.calls
-	if b.lease.suspended && c.longestRefused == 0 {
-		return c.called + furtherSpacing // any queue that refuses calls would have refused the open ones by now
+	if b.lease.suspended { // a queue that refuses calls would have refused the open ones by now
+		return c.called + max(furtherSpacing, c.longestRefused*refusedLonger)
 	}
 	if c.open >= OpenCallsMost {
 		return c.called + openCallsPause
--- a/logic/lease.go
+++ b/logic/lease.go
@@ -20,7 +20,7 @@
 	leaseStall Millis = 250
 	// suspensionMost is how long new attempts are suspended at most until a list is heard. A discovery that takes calls and
 	// answers none must not end all service.
-	suspensionMost Millis = 3500
+	suspensionMost Millis = 3800
 	// waitsOfACrowd is how many calls a crowded discovery may refuse after a wait before it counts as down.
 	waitsOfACrowd = 1
 	// waitsAfterReset is the same behind a watch that was reset, as the watches of a discovery are that goes down.
