Lease: a timer that rounding brings early still ends the lease and the suspension

Cause, by reading: clocks hold a quarter of a microsecond at Unix milliseconds; a timer that came that much before the lease's end found it not over and set no other, since one for that time was noted: attempts would not be suspended until another event. All comparisons allow 0.01 ms now. TestATimerThatRoundingBringsEarlyEndsTheLeaseAndTheSuspension fails with the comparisons before.

--- a/logic/lease.go
+++ b/logic/lease.go
@@ -25,6 +25,8 @@
 	waitsOfACrowd = 1
 	// waitsAfterReset is the same behind a watch that was reset, as the watches of a discovery are that goes down.
 	waitsAfterReset = 0
+	// timerSlack is by how many milliseconds a timer may come early, by rounding.
+	timerSlack Millis = 0.01
 	// leaseTimer is the timer of the lease's end and of the end of a suspension.
 	leaseTimer TimerID = 3
 )
@@ -86,7 +88,7 @@
 	l := &b.lease
 	l.orderly, l.running = orderly, orderly && !l.sole
 	l.reachedBy = nearer(l.reachedBy, b.now-silentFor+l.bounds.Reached)
-	if silentFor == 0 || orderly || silentFor < l.bounds.Ended {
+	if orderly || silentFor < l.bounds.Ended {
 		l.endedBy = nearer(l.endedBy, b.now+l.bounds.Ended)
 	}
 	if l.sole {
@@ -191,7 +193,7 @@
 // lease supposes, so much longer.
 func (l *lease) suspensionEnds(now Millis) Millis {
 	later := Millis(0)
-	if l.reachedBy > 0 && l.reachedBy+l.margin <= now {
+	if l.reachedBy > 0 && l.reachedBy+l.margin <= now+timerSlack {
 		later = max(l.maybeDown+l.bounds.Reached-l.reachedBy, 0)
 	}
 	return now + suspensionMost + later
@@ -203,9 +205,9 @@
 	if !b.mustAsk || l.bounds.Reached <= 0 {
 		return
 	}
-	over, reached := b.now >= l.ends(), l.reached || l.running
+	over, reached := b.now+timerSlack >= l.ends(), l.reached || l.running
 	switch {
-	case l.suspended && b.now >= l.until:
+	case l.suspended && b.now+timerSlack >= l.until:
 		b.Note("no list is heard; working from the last list again")
 		l.letGo(b.now)
 		b.resume()
@@ -226,7 +228,7 @@
 // letGo drops the deadlines that are over: attempts were suspended for them for as long as may be.
 func (l *lease) letGo(now Millis) {
 	for _, by := range []*Millis{&l.reachedBy, &l.movedBy, &l.endedBy} {
-		if now >= *by+l.margin {
+		if now+timerSlack >= *by+l.margin {
 			*by = 0
 		}
 	}
--- a/logic/lease_test.go
+++ b/logic/lease_test.go
@@ -202,3 +202,14 @@
 	b.Alarm(leaseTimer)
 	assert.False(t, b.Suspended())
 }
+
+func TestATimerThatRoundingBringsEarlyEndsTheLeaseAndTheSuspension(t *testing.T) {
+	w := lostWatch()
+	end := Millis(12000) + leaseGrace - leaseStall
+	w.b.At(end - timerSlack/2)
+	w.b.Alarm(leaseTimer)
+	assert.True(t, w.b.Suspended())
+	w.b.At(w.b.lease.until - timerSlack/2)
+	w.b.Alarm(leaseTimer)
+	assert.False(t, w.b.Suspended())
+}
