Test of a silent one's place: each case has connections of its own

Traced: the cases come in the random order of a map and shared their connections; where the whole request came first, its place was free again when half a head came, which then needed none. The assertion is as it was.

--- a/internal/sidecar/descriptors_test.go
+++ b/internal/sidecar/descriptors_test.go
@@ -47,11 +47,11 @@
 
 // A client whose request waits whole takes the place of a silent one, even if that is silent for a moment only; half a head does not.
 func TestAWholeRequestTakesASilentOnesPlace(t *testing.T) {
-	s := newSockets(64, &Counters{})
-	for range s.usable {
-		connected(t, s)
-	}
 	for text, excess := range map[string]bool{"GET /look/x HTTP/1.1\r\nHo": true, "GET /look/x HTTP/1.1\r\nHost: h\r\n\r\n": false} {
+		s := newSockets(64, &Counters{})
+		for range s.usable {
+			connected(t, s)
+		}
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		far, err := net.Dial("tcp", ln.Addr().String())
