Review case 3: an attempt begins for a client of a long request that has left

Cause: a long request is read no further than its first part until an attempt takes it, so that the client's close behind it is not seen.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -18,8 +18,10 @@
 	body              int           // bytes
 	rate              int           // bytes of the body a second; 0 for at once
 	size              int           // bytes of the long answer asked for; 0 for a short one
+	leaveAfter        time.Duration // the client closes its connection so long after its last byte; 0 for never
 
 	began      time.Time
+	leftAt     time.Time // when the client closed its connection before its answer
 	lastByteAt time.Time // zero if the request was not written whole
 	answeredAt time.Time // last byte of a whole answer; zero for none
 	status     int
@@ -93,6 +95,13 @@
 	} else {
 		cs.rec.line("client could not send %s whole: %v", c.id, err)
 	}
+	if err == nil && c.leaveAfter > 0 {
+		time.Sleep(c.leaveAfter)
+		conn.Close()
+		c.leftAt = time.Now()
+		cs.rec.line("client of %s has closed its connection", c.id)
+		return
+	}
 	conn.SetReadDeadline(time.Now().Add(c.timeout + patience))
 	if c.err = cs.read(c, conn); c.err != nil {
 		cs.rec.line("client got no whole answer to %s: %v", c.id, c.err)
--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -21,8 +21,10 @@
 	work    func(r *http.Request) time.Duration
 	server  *http.Server
 
-	mu   sync.Mutex
-	runs map[string]int // how often each request was begun here
+	mu       sync.Mutex
+	runs     map[string]int         // how often each request was begun here
+	arrivals map[string][]time.Time // when the head of each attempt had come
+	slots    chan bool              // attempts that run at a time; nil for no bound
 }
 
 // answerFor is the one body that is right for a request.
@@ -33,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{id: id, addr: ln.Addr().String(), rec: rec, work: work, runs: map[string]int{}}
+	e := &endpoint{id: id, addr: ln.Addr().String(), rec: rec, work: work, runs: map[string]int{}, arrivals: map[string][]time.Time{}}
 	e.server = &http.Server{Handler: e, IdleTimeout: 15 * time.Second}
 	go e.server.Serve(ln)
 	return e, nil
@@ -46,6 +48,13 @@
 	if id == "" {
 		return
 	}
+	if e.slots != nil {
+		select {
+		case e.slots <- true:
+			defer func() { <-e.slots }()
+		case <-r.Context().Done():
+		}
+	}
 	sleep(r.Context(), e.work(r))
 	for e.hanging.Load() && r.Context().Err() == nil {
 		sleep(r.Context(), 20*time.Millisecond)
@@ -98,6 +107,10 @@
 		w.WriteHeader(http.StatusNotFound)
 		return ""
 	}
+	e.mu.Lock()
+	e.arrivals[id] = append(e.arrivals[id], time.Now())
+	e.mu.Unlock()
+	e.rec.line("%s gets the head of an attempt for %s", e.id, id)
 	n, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		e.rec.line("%s did not get %s whole: %d bytes, %v", e.id, id, n, err)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]func(w *world) (broken []string, err error){
 	"1": resetAnswers,
 	"2": uploadsAtShutdown,
+	"3": clientsLeave,
 }
 
 func main() {
--- a/review/standin/uploads.go
+++ b/review/standin/uploads.go
@@ -45,7 +45,7 @@
 	}()
 	time.Sleep(3 * time.Second)
 	// Long requests: each is sent whole between 0.9 and 2.3 s after SIGTERM, before SIGKILL may come.
-	const uploads = 16
+	const uploads = 24
 	term := time.Now().Add(3500 * time.Millisecond)
 	for n := range uploads {
 		end := term.Add(900*time.Millisecond + time.Duration(n)*1400*time.Millisecond/(uploads-1))
