--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -6,16 +6,15 @@
 	"time"
 )
 
-// clientsLeave is case 3: clients of long requests leave during a burst, while their requests wait to be sent on.
+// clientsLeave is case 3: clients of long requests leave during bursts, while their requests wait to be sent on.
 //
 // TROUBLE=0 plays the same requests, and no client leaves.
 func clientsLeave(w *world) (broken []string, err error) {
 	const (
 		timeout = 1200 * time.Millisecond
-		usual   = 80  // requests a second
-		burst   = 160 // twice as many
-		begin   = 6 * time.Second
-		last    = 16 * time.Second       // of the burst: 10 s
+		usual   = 80                     // requests a second
+		burst   = 168                    // 2.1 times as many
+		length  = 34 * time.Second       // with two bursts of 10 s
 		limit   = 150 * time.Millisecond // 0.1 s, and 50 ms as for each time limit on sockets
 	)
 	work := func(*http.Request) time.Duration { return 110 * time.Millisecond }
@@ -35,9 +34,9 @@
 		return nil, err
 	}
 	started, n := time.Now(), 0
-	for at := time.Duration(0); at < last+time.Second; n++ {
+	for at := time.Duration(0); at < length; n++ {
 		rate := usual
-		if at > begin && at < last {
+		if in := at % (16 * time.Second); in > 6*time.Second {
 			rate = burst
 		}
 		at += time.Second / time.Duration(rate)
@@ -47,7 +46,7 @@
 		case n%20 == 7: // one in twenty is long, and its client leaves
 			c.id, c.class, c.effect, c.body = fmt.Sprintf("long-%05d", n), "order-prints", "fragile", 800_000
 			if w.trouble != "0" {
-				c.leaveAfter = 30 * time.Millisecond
+				c.leaveAfter = 10 * time.Millisecond
 			}
 		case n%4 == 1:
 			c.class, c.effect, c.body = "order-prints", "fragile", 200
