--- a/internal/sidecar/kernel.go
+++ b/internal/sidecar/kernel.go
@@ -114,6 +114,24 @@
 	return q.unreadAge
 }
 
+// wasReset reports whether a connection whose end was read had been reset, and not closed in order by its peer.
+func wasReset(conn net.Conn) (reset bool) {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	q := socketQueries.Get().(*socketQuery)
+	defer socketQueries.Put(q)
+	err = raw.Control(func(fd uintptr) {
+		reset = q.askInfo(fd) && q.info.State == tcpStateClosed
+	})
+	return err == nil && reset
+}
+
 // headIsComplete reports whether the complete head of a request waits unread.
 func (c *clientConn) headIsComplete() bool {
 	if c.raw == nil {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -172,22 +172,41 @@
 	reader       *bufio.Reader
 	idleSince    time.Time
 	stallTimeout time.Duration
-	leg          *leg // whose answer is being read; nil for none
+	leg          *leg  // whose answer is being read; nil for none
+	readErr      error // what ended the answers; each read after it gets it too
 
 	counters      *Counters
 	answerStarted bool        // at least one byte of the answer was received
 	forwarding    atomic.Bool // the answer is being forwarded: streamStallTimeout between two reads is its only time limit
 }
 
-// Read limits the pauses within an answer that has started. A malformed answer may have a wrong length or a head
+// errConnectionReset is the error of a read at the end of a connection whose reset was reported to an earlier call.
+var errConnectionReset = &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+
+// Read reads from the endpoint. All answers are read through it, and io.EOF from it means an orderly end, by which a body
+// of no stated length is whole. The kernel reports a reset once, to whichever call comes first: a read ahead, a write, a
+// look at the socket. The reads after that call find what looks like an orderly end. So an error is returned by all
+// later reads too, and at an end the kernel is asked whether the connection was reset. Only a time-out is not kept: a
+// later read may have more time.
+//
+// Read also limits the pauses within an answer that has started. A malformed answer may have a wrong length or a head
 // without end on a connection that stays open; without the limit, the leg would hold its exchange until no time is left
 // for another leg.
 func (k *endpointConn) Read(p []byte) (int, error) {
+	if k.readErr != nil {
+		return 0, k.readErr
+	}
 	if g := k.leg; g != nil && k.answerStarted {
 		k.setReadDeadline(g)
 	}
 	n, err := k.conn.Read(p)
 	k.answerStarted = k.answerStarted || n > 0
+	if err == io.EOF && wasReset(k.conn) {
+		err = errConnectionReset
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		k.readErr = err
+	}
 	return n, err
 }
 
@@ -437,10 +456,15 @@
 		u.sockets.releaseUpstream()
 		return nil, newLegError(dialling, err, g.ctx.Err() != nil || g.exchangeOver.Load())
 	}
-	k := &endpointConn{conn: conn, addr: g.addr, stallTimeout: u.stallTimeout, counters: u.counters}
+	return newEndpointConn(conn, g.addr, u.stallTimeout, u.counters), nil
+}
+
+// newEndpointConn wraps a connection to the endpoint at addr. stallTimeout bounds the time between two parts of an answer.
+func newEndpointConn(conn net.Conn, addr string, stallTimeout time.Duration, c *Counters) *endpointConn {
+	k := &endpointConn{conn: conn, addr: addr, stallTimeout: stallTimeout, counters: c}
 	k.limited.R = k
 	k.reader = bufio.NewReaderSize(&k.limited, answerBufferBytes)
-	return k, nil
+	return k
 }
 
 // requestTimeoutMs returns the leg's remaining time in milliseconds, which is sent to the endpoint as Request-Timeout.
@@ -528,10 +552,10 @@
 	errAnswerStalled   = errors.New("endpoint's answer started but stalled before its end")
 )
 
-// awaitHead waits for a complete head and checks that its framing is valid.
+// awaitHead waits for a complete head and checks that its framing is valid. It reads no more than that takes: a head that
+// is buffered already, behind a 1xx answer, may be the last that comes for a while.
 func (k *endpointConn) awaitHead() error {
 	for {
-		_, err := k.reader.Peek(k.reader.Buffered() + 1)
 		buffered, _ := k.reader.Peek(k.reader.Buffered())
 		if start := min(len(buffered), len("HTTP/1.")); string(buffered[:start]) != "HTTP/1."[:start] {
 			return errMalformedAnswer
@@ -540,10 +564,10 @@
 			_, _, err := parseFraming(buffered[:end])
 			return err
 		}
-		if err == bufio.ErrBufferFull {
+		switch _, err := k.reader.Peek(len(buffered) + 1); {
+		case err == bufio.ErrBufferFull:
 			return errMalformedAnswer
-		}
-		if err != nil {
+		case err != nil:
 			return err
 		}
 	}
