--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -23,11 +23,12 @@
 )
 
 const (
-	maxBufferedBodyBytes    = 64 << 10 // an answer with a longer body is forwarded while it is received, as is a request of unknown length
-	maxHeadBytes            = 16 << 10 // of a request or an answer
-	answerBufferBytes       = 8 << 10  // read buffer; an answer whose head does not fit is malformed
-	maxInformationalAnswers = 5        // 1xx answers before the final one
-	idleReuseShare          = 0.6      // of idle-close: a connection idle for longer is not reused
+	maxBufferedBodyBytes    = 64 << 10                        // an answer with a longer body is forwarded while it is received, as is a request of unknown length
+	maxHeadBytes            = 16 << 10                        // of a request or an answer
+	maxAnswerBytes          = maxHeadBytes + maxStreamedBytes // of an answer, with the 1xx answers ahead of it
+	answerBufferBytes       = 8 << 10                         // read buffer; an answer whose head does not fit is malformed
+	maxInformationalAnswers = 5                               // 1xx answers before the final one
+	idleReuseShare          = 0.6                             // of idle-close: a connection idle for longer is not reused
 	// reuseDelayShare is the reuse delay as a share of the stall timeout, which is the connect timeout if there is one.
 	// Surplus bytes after an answer must show up before the next request is written.
 	reuseDelayShare = 0.1
@@ -168,7 +169,7 @@
 type endpointConn struct {
 	conn         net.Conn
 	addr         string
-	limited      io.LimitedReader // bounds the size of an answer, in case the endpoint never ends it
+	bytesAllowed int // for the rest of the answer, in case the endpoint never ends it
 	reader       *bufio.Reader
 	idleSince    time.Time
 	stallTimeout time.Duration
@@ -189,17 +190,21 @@
 // later reads too, and at an end the kernel is asked whether the connection was reset. Only a time-out is not kept: a
 // later read may have more time.
 //
-// Read also limits the pauses within an answer that has started. A malformed answer may have a wrong length or a head
+// Read also limits the size of an answer, beyond which it returns errBodyTooLong, and the pauses within an answer that has started. A malformed answer may have a wrong length or a head
 // without end on a connection that stays open; without the limit, the leg would hold its exchange until no time is left
 // for another leg.
 func (k *endpointConn) Read(p []byte) (int, error) {
 	if k.readErr != nil {
 		return 0, k.readErr
 	}
+	if k.bytesAllowed <= 0 {
+		return 0, errBodyTooLong
+	}
 	if g := k.leg; g != nil && k.answerStarted {
 		k.setReadDeadline(g)
 	}
-	n, err := k.conn.Read(p)
+	n, err := k.conn.Read(p[:min(len(p), k.bytesAllowed)])
+	k.bytesAllowed -= n
 	k.answerStarted = k.answerStarted || n > 0
 	if err == io.EOF && wasReset(k.conn) {
 		err = errConnectionReset
@@ -461,9 +466,8 @@
 
 // newEndpointConn wraps a connection to the endpoint at addr. stallTimeout bounds the time between two parts of an answer.
 func newEndpointConn(conn net.Conn, addr string, stallTimeout time.Duration, c *Counters) *endpointConn {
-	k := &endpointConn{conn: conn, addr: addr, stallTimeout: stallTimeout, counters: c}
-	k.limited.R = k
-	k.reader = bufio.NewReaderSize(&k.limited, answerBufferBytes)
+	k := &endpointConn{conn: conn, addr: addr, stallTimeout: stallTimeout, counters: c, bytesAllowed: maxAnswerBytes}
+	k.reader = bufio.NewReaderSize(k, answerBufferBytes)
 	return k
 }
 
@@ -582,8 +586,6 @@
 		switch {
 		case err == errReaderGone:
 			return newLegError(written, err, true)
-		case k.limited.N <= 0:
-			return errored(errBodyTooLong)
 		case !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &netErr):
 			return errored(err)
 		case errors.Is(err, os.ErrDeadlineExceeded) && g.ctx.Err() == nil && time.Now().Before(g.currentDeadline()):
@@ -596,7 +598,7 @@
 		k.leg = nil
 		k.forwarding.Store(false)
 	}()
-	k.limited.N = maxHeadBytes + maxStreamedBytes
+	k.bytesAllowed = maxAnswerBytes
 	var response *http.Response
 	for informational := 0; response == nil || response.StatusCode < 200; informational++ {
 		if informational > maxInformationalAnswers {
--- a/internal/sidecar/upstream_end_test.go
+++ b/internal/sidecar/upstream_end_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -106,6 +107,36 @@
 	}
 }
 
+// Guards against an answer of no stated length that is cut at the size limit and passed on as whole.
+func TestAnswerBeyondTheSizeLimitIsNotTakenForWhole(t *testing.T) {
+	padding := strings.Repeat("A: "+strings.Repeat("b", 60)+"\r\n", 100)
+	longHints := strings.Repeat("HTTP/1.1 103 Early Hints\r\n"+padding+"\r\n", maxInformationalAnswers)
+	u, s := newTestUpstream(t, 100), newStubEndpoint(t, func(c net.Conn, _ *http.Request) bool {
+		c.Write([]byte(longHints + unframedHead))
+		for err := error(nil); err == nil; {
+			_, err = c.Write(make([]byte, 1<<20))
+		}
+		return false
+	})
+	g := newTestLeg(u, s.Addr().String(), 5*time.Second)
+	end := make(chan error, 1)
+	g.onAnswerStart = func(r *reply) {
+		go func() {
+			var spare []byte
+			for {
+				part, err := r.flow.read(spare)
+				if err != nil {
+					end <- err
+					return
+				}
+				spare = part
+			}
+		}()
+	}
+	u.run(g)
+	assert.ErrorIs(t, <-end, errBodyTooLong)
+}
+
 // connectedEndpointConn returns a connection to an endpoint and the endpoint's side of it.
 func connectedEndpointConn(t *testing.T) (*endpointConn, *net.TCPConn) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
