--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -41,8 +41,7 @@
 	tenant          logic.TenantID
 	key             logic.KeyID    // key of what the request is about, as its client states it; 0 for none
 	cost            float64        // work that the request causes, by its client's hint; 0 for none
-	deadline        logic.Millis   // when the client gives up
-	clientTimeout   logic.Millis   // counts from the request's last byte
+	deadline        answerDeadline // not owned by the loop: any goroutine may read it
 	bodyPending     bool           // the request's last byte has not arrived
 	bodySource      *minRateReader // where the rest of a streamed request is read from
 	request         request
@@ -92,10 +91,7 @@
 	// requestSent says that the last byte of a streamed request has been written to its endpoint.
 	requestSent struct{ x *exchange }
 	// requestReceived says that the last byte of a streamed request has been read from its client.
-	requestReceived struct {
-		x        *exchange
-		deadline logic.Millis
-	}
+	requestReceived struct{ x *exchange }
 	// logView asks for the module's view to be logged.
 	logView struct{}
 )
@@ -127,6 +123,9 @@
 // publishIntervalMs is the least time between two publications of the module's figures while the loop runs.
 const publishIntervalMs = 50
 
+// pendingCheckIntervalMs is the time between two checks of an exchange whose request has not arrived whole.
+const pendingCheckIntervalMs = 500
+
 // maxPendingDiscoveryEvents bounds the lists and changes from discovery that wait for the loop.
 const maxPendingDiscoveryEvents = 64
 
@@ -381,8 +380,8 @@
 	l.counters.exchanges.Add(1)
 	l.unanswered.Add(1)
 	l.exchanges[x.id] = x
-	l.addTimer(timer{at: x.deadline + l.grace, deadlineOf: x})
-	l.module.Arrive(x.id, x.product, x.tenant, x.key, x.deadline, x.cost, x.bodyPending)
+	l.addDeadlineTimer(x)
+	l.module.Arrive(x.id, x.product, x.tenant, x.key, l.deadlineOf(x), x.cost, x.bodyPending)
 }
 
 // handle ends an exchange that is not answered yet. Its legs that have not started are not sent.
@@ -410,12 +409,12 @@
 	if x.answered {
 		return
 	}
-	if x.bodyPending && x.outstandingLegs > 0 {
-		// The client's timeout does not run yet; the minimum body rate bounds the wait. Check again in 500 ms.
-		l.addTimer(timer{at: l.now + l.grace + 500, deadlineOf: x})
+	if latest := l.at(x.deadline.byWhileReceived()); x.bodyPending && x.outstandingLegs > 0 && l.now < latest+l.grace {
+		// The client's timeout does not run yet; the minimum body rate bounds the wait.
+		l.addTimer(timer{at: min(l.now+pendingCheckIntervalMs, latest) + l.grace, deadlineOf: x})
 		return
 	}
-	if l.now < x.deadline+l.grace {
+	if l.now < l.deadlineOf(x)+l.grace {
 		return // the deadline was moved when the request's last byte arrived, and a later timer is set
 	}
 	l.counters.overdue.Add(1)
@@ -425,13 +424,20 @@
 	l.removeFinished(x)
 }
 
-// capDeadlines brings the deadlines of unanswered exchanges forward to the time at which SIGKILL may come, however long
-// their clients would wait.
-func (l *loop) capDeadlines(by logic.Millis) {
+// deadlineOf returns x's deadline as the loop's time.
+func (l *loop) deadlineOf(x *exchange) logic.Millis { return l.at(x.deadline.by()) }
+
+// addDeadlineTimer has x answered at its deadline if it has no answer by then.
+func (l *loop) addDeadlineTimer(x *exchange) {
+	l.addTimer(timer{at: l.deadlineOf(x) + l.grace, deadlineOf: x})
+}
+
+// addShutdownTimers has all exchanges answered when SIGKILL may come, however long their clients would wait, and whether or
+// not their requests have arrived whole. It is called once the end of the process is known to their deadlines.
+func (l *loop) addShutdownTimers() {
 	for _, x := range l.exchanges {
-		if !x.answered && !x.bodyPending && x.deadline > by {
-			x.deadline = by
-			l.addTimer(timer{at: by + l.grace, deadlineOf: x})
+		if end, ending := x.deadline.shutdown(); ending && !x.answered {
+			l.addTimer(timer{at: l.at(end) + l.grace, deadlineOf: x})
 		}
 	}
 }
@@ -455,11 +461,11 @@
 	}
 }
 
-// handle sets the exchange's deadline, which counts from the request's last byte.
+// handle starts the exchange's deadline, which counts from the request's last byte.
 func (e requestReceived) handle(l *loop) {
 	if x := e.x; l.exchanges[x.id] == x && x.bodyPending {
-		x.bodyPending, x.deadline = false, e.deadline
-		l.addTimer(timer{at: x.deadline + l.grace, deadlineOf: x})
+		x.bodyPending = false
+		l.addDeadlineTimer(x)
 	}
 }
 
@@ -471,7 +477,7 @@
 				g.sentAt = l.now
 			}
 		}
-		l.module.BodyComplete(x.id, x.deadline)
+		l.module.BodyComplete(x.id, l.deadlineOf(x))
 	}
 }
 
@@ -526,7 +532,7 @@
 		return
 	}
 	l.trackLease()
-	remaining := x.deadline - l.now
+	remaining := l.deadlineOf(x) - l.now
 	if giveUpAfter == 0 || giveUpAfter > remaining {
 		giveUpAfter = remaining
 	}
@@ -629,7 +635,7 @@
 func (l *loop) logNotServed(x *exchange, message string, reason logic.Reason) {
 	if line := l.log.Check(zap.DebugLevel, message); line != nil {
 		line.Write(zap.String("id", string(x.id)), zap.String("reason", reasonNames[reason]), zap.Int("attempts", len(x.legs)),
-			zap.Float64("left_ms", float64(x.deadline-l.now)))
+			zap.Float64("left_ms", float64(l.deadlineOf(x)-l.now)))
 	}
 }
 
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -113,9 +113,11 @@
 	x = &exchange{
 		id: logic.ExchangeID(id[0]), product: product, tenant: s.names.Tenant([]byte(r.Header.Get("Tenant"))),
 		key:  terms.Key([]byte(infoValue(r.Header.Get("Request-Info"), "path-key"))),
-		cost: costHint(r.Header.Get("Request-Info")), deadline: s.loop.at(completeAt) + timeout, clientTimeout: timeout, answer: make(chan answer, 1), bodyPending: rest != nil,
-		request: request{method: r.Method, product: class, head: head.Bytes(), body: body, remaining: rest},
+		cost: costHint(r.Header.Get("Request-Info")), answer: make(chan answer, 1), bodyPending: rest != nil,
+		request:  request{method: r.Method, product: class, head: head.Bytes(), body: body, remaining: rest},
+		deadline: answerDeadline{started: s.loop.started, clientTimeout: toDuration(timeout), shutdownBy: &s.shutdownBy},
 	}
+	x.deadline.setReceived(completeAt)
 	if rest != nil {
 		control.EnableFullDuplex() // an answer may be written before the request's end
 		x.bodySource = source
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -215,10 +215,7 @@
 		http.Error(w, reason, status)
 		return
 	}
-	if end := s.shutdownBy.Load(); end != nil {
-		x.deadline = min(x.deadline, s.loop.at(*end)) // SIGKILL may follow then
-	}
-	if x.deadline <= s.loop.at(receivedAt) || conn != nil && !conn.enterPhase(phaseBusy) {
+	if !x.deadline.by().After(receivedAt) || conn != nil && !conn.enterPhase(phaseBusy) {
 		s.refuseOverCapacity(w, r)
 		return
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -494,7 +494,7 @@
 	require.NoError(t, err)
 	x, _, _ := f.readExchange(httptest.NewRecorder(), q, time.Now())
 	require.NotNil(t, x)
-	assert.Less(t, x.deadline, r.loop.at(time.Now()), "its timeout has passed")
+	assert.Less(t, r.loop.deadlineOf(x), r.loop.at(time.Now()), "its timeout has passed")
 }
 
 func TestStartWaitsForTheAddress(t *testing.T) {
@@ -593,7 +593,7 @@
 // A finished exchange keeps no body in memory, although the timer of its deadline still refers to it.
 func TestFinishedExchangeKeepsNoBody(t *testing.T) {
 	r := startSidecar(t, listOf(newStubEndpoint(t, respondWith(okResponse, true))), nil)
-	x := &exchange{id: "1", deadline: r.loop.at(time.Now()) + 60000, answer: make(chan answer, 1), request: request{
+	x := &exchange{id: "1", deadline: answerDeadline{started: time.Now(), clientTimeout: time.Minute}, answer: make(chan answer, 1), request: request{
 		method: "POST", head: []byte("POST /buy HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"), body: []byte("hello")}}
 	r.loop.post(arrival{x})
 	assert.Equal(t, 200, (<-x.answer).status)
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -456,7 +456,7 @@
 	longestAbandon := s.longestAbandon()
 	until := started.Add(longestAbandon + shutdownMargin/2)
 	srv.shutdownBy.Store(&until)
-	srv.loop.postUrgent(loopCall(func(l *loop) { l.capDeadlines(l.at(until)) }))
+	srv.loop.postUrgent(loopCall((*loop).addShutdownTimers))
 	srv.log.Info("ending", zap.Int64("held", srv.loop.unanswered.Load()))
 	accepting := true
 	ticker := time.NewTicker(10 * time.Millisecond)
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -265,8 +265,7 @@
 // streamedRequest is the body of a request that is passed on to an endpoint while it arrives.
 type streamedRequest struct {
 	*bodyPipe
-	length   int64     // -1 if unknown
-	deadline time.Time // for its answer; set before the pipe is closed with io.EOF
+	length int64 // -1 if unknown
 }
 
 // receiveBody reads a streamed request from its client until its end. If the pipe's reader takes no more, the rest is read
@@ -285,9 +284,8 @@
 		source.startBy = source.startBy.Add(time.Since(writeStart)) // waiting for the endpoint is not charged to the client
 	}
 	if err == io.EOF {
-		completeAt := x.client.earlierReceipt(time.Now())
-		body.deadline = completeAt.Add(toDuration(x.clientTimeout))
-		s.loop.post(requestReceived{x, s.loop.at(completeAt) + x.clientTimeout})
+		x.deadline.setReceived(x.client.earlierReceipt(time.Now()))
+		s.loop.post(requestReceived{x})
 		source.control.SetReadDeadline(time.Time{})
 		if x.client != nil {
 			x.client.bodyEndRead.Store(true)
@@ -305,8 +303,7 @@
 // runStreamed sends a streamed request and reads its answer. If the endpoint answers before the request's end, it did not
 // start to process the request.
 func (u *upstream) runStreamed(k *endpointConn, g *leg, head net.Buffers) (r *reply, keepOpen bool, fault *legError) {
-	noDeadline := time.Now().Add(time.Hour)
-	g.deadlineOverride.Store(&noDeadline)
+	g.uploading.Store(true)
 	k.conn.SetDeadline(time.Time{})
 	type end struct {
 		at  legStage
@@ -391,11 +388,11 @@
 		}
 	}
 	u.counters.product(g.request.product).legs.Add(1)
-	g.deadlineOverride.Store(&body.deadline)
+	g.uploading.Store(false)
 	if g.onRequestWritten != nil {
 		g.onRequestWritten()
 	}
-	k.conn.SetReadDeadline(body.deadline)
+	k.conn.SetReadDeadline(g.currentDeadline())
 	if g.ctx.Err() != nil {
 		k.conn.SetReadDeadline(time.Unix(1, 0))
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -60,7 +60,7 @@
 	ctx                context.Context
 	cancel             context.CancelFunc
 	reported           bool                               // its outcome was passed to the module
-	deadlineOverride   atomic.Pointer[time.Time]          // replaces deadline while the request is still being received
+	uploading          atomic.Bool                        // a streamed request whose last byte is not written to the endpoint yet
 	forwardFrom        time.Time                          // an answer of unknown length is forwarded from then on
 	latestStart        time.Time                          // no first byte after that: endpoints may run a repeat a second time
 	neverRan           bool                               // the request is known not to have run
@@ -80,10 +80,13 @@
 
 // currentDeadline returns when the leg's result is no longer needed.
 func (g *leg) currentDeadline() time.Time {
-	if override := g.deadlineOverride.Load(); override != nil {
-		return *override
+	switch {
+	case g.request.remaining == nil:
+		return g.deadline
+	case g.uploading.Load():
+		return g.exchange.deadline.byWhileReceived()
 	}
-	return g.deadline
+	return g.exchange.deadline.by()
 }
 
 // preventStart stops a leg whose exchange is over if its first byte is not written yet. It does not cancel a leg that has
