--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -55,11 +55,11 @@
 	readDeadline   time.Time
 	closed         atomic.Bool
 
-	buf           []byte // read from the connection and not passed on
-	readable      int    // bytes at the start of buf that may be passed on
-	bodyLeft      int64  // bytes of the current request's body that are still to be read
-	requestPassed bool   // the current request was passed on: what follows it waits until it is answered
-	lastRequest   bool   // all further bytes belong to the current request, after which the connection is closed
+	buf           []byte       // read from the connection and not passed on
+	readable      int          // bytes at the start of buf that may be passed on
+	bodyLeft      atomic.Int64 // bytes of the current request's body that are still to be read
+	requestPassed bool         // the current request was passed on: what follows it waits until it is answered
+	lastRequest   bool         // all further bytes belong to the current request, after which the connection is closed
 	readErr       error
 	bodyEndRead   atomic.Bool   // the end of the current request's body was read; matters with lastRequest only
 	watchStopped  atomic.Bool   // net/http wants its background read to end
@@ -150,15 +150,15 @@
 		if c.readErr != nil {
 			return 0, c.readErr
 		}
-		if c.lastRequest && c.bodyEndRead.Load() || !c.lastRequest && c.requestPassed && c.bodyLeft == 0 {
+		if c.lastRequest && c.bodyEndRead.Load() || !c.lastRequest && c.requestPassed && c.bodyLeft.Load() == 0 {
 			return 0, c.watchForClose()
 		}
-		if c.bodyLeft > 0 || c.lastRequest {
-			if !c.lastRequest && int64(len(p)) > c.bodyLeft {
-				p = p[:c.bodyLeft]
+		if left := c.bodyLeft.Load(); left > 0 || c.lastRequest {
+			if !c.lastRequest && int64(len(p)) > left {
+				p = p[:left]
 			}
 			n, err = c.receive(p)
-			c.bodyLeft -= int64(n)
+			c.bodyLeft.Add(-int64(n))
 			return n, err
 		}
 		if err := c.readHead(); err != nil {
@@ -304,10 +304,10 @@
 	if err != nil {
 		return c.failRead(err)
 	}
-	c.bodyLeft = max(length, 0)
-	buffered := min(int64(len(c.buf)-end), c.bodyLeft)
+	length = max(length, 0)
+	buffered := min(int64(len(c.buf)-end), length)
 	nextPhase := phaseReading // until now eviction could not see a request that was read ahead
-	if c.bodyLeft == buffered && !chunked {
+	if length == buffered && !chunked {
 		// It is whole: its handler may have to wait for CPU, and the connection must not be evicted as silent meanwhile.
 		nextPhase = phaseBusy
 	}
@@ -316,11 +316,11 @@
 	}
 	c.requestPassed = true
 	c.bodyEndRead.Store(false) // it may still be set from the request before
+	c.bodyLeft.Store(length - buffered)
+	c.readable = end + int(buffered)
 	if c.lastRequest = chunked; chunked {
-		c.readable, c.bodyLeft = len(c.buf), 0
-		return nil
+		c.readable = len(c.buf)
 	}
-	c.readable, c.bodyLeft = end+int(buffered), c.bodyLeft-buffered
 	return nil
 }
 
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -100,6 +100,18 @@
 	}
 }
 
+// limitUpstreamSendBuffer has the kernel take little of a request whose endpoint does not read it.
+func (r *testSidecar) limitUpstreamSendBuffer() {
+	dial := r.loop.upstream.dial
+	r.loop.upstream.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err == nil {
+			conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
+		}
+		return conn, err
+	}
+}
+
 // Guards against a request without an answer when SIGKILL comes that its client has sent whole, and of which its endpoint takes
 // so little that the sidecar has not read its end.
 func TestLongRequestThatTheEndpointDoesNotReadIsAnsweredBeforeSIGKILL(t *testing.T) {
@@ -107,16 +119,8 @@
 	require.NoError(t, err)
 	defer endpoint.Close()
 	r := startSidecar(t, listOf(endpoint), withLongestDeadline)
-	dialled := r.loop.upstream.dial
-	r.loop.upstream.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dialled(ctx, network, addr)
-		if err == nil {
-			conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
-		}
-		return conn, err
-	}
+	r.limitUpstreamSendBuffer()
 	client := r.dial().(*net.TCPConn)
-	client.SetWriteBuffer(4 << 20)
 	body := longBody(1 << 20)
 	_, err = client.Write([]byte(requestText("1", "POST", "buy", fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body))
 	require.NoError(t, err, "its client has sent it whole")
--- a/internal/sidecar/kernel.go
+++ b/internal/sidecar/kernel.go
@@ -132,6 +132,37 @@
 	return err == nil && reset
 }
 
+// unreadBytes returns how many bytes wait unread; 0 if unknown.
+func (c *clientConn) unreadBytes() int64 {
+	if c.raw == nil {
+		return 0
+	}
+	unread := 0
+	err := c.raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			unread = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return int64(unread)
+}
+
+// growReceiveWindow has the kernel make room for n unread bytes. A reader that wants to be woken for so many at once
+// (SO_RCVLOWAT, socket(7)) is given that room, up to half of the maximum in net.ipv4.tcp_rmem and with no privilege; the
+// room stays when the reader wants to be woken for each byte again. SO_RCVBUF would stop at net.core.rmem_max, which is
+// less, and end the kernel's own tuning. A kernel that makes no room keeps its own window.
+func (c *clientConn) growReceiveWindow(n int) {
+	if c.raw == nil {
+		return
+	}
+	c.raw.Control(func(fd uintptr) {
+		unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVLOWAT, n)
+		unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVLOWAT, 1)
+	})
+}
+
 // headIsComplete reports whether the complete head of a request waits unread.
 func (c *clientConn) headIsComplete() bool {
 	if c.raw == nil {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -42,7 +42,8 @@
 	key             logic.KeyID    // key of what the request is about, as its client states it; 0 for none
 	cost            float64        // work that the request causes, by its client's hint; 0 for none
 	deadline        answerDeadline // not owned by the loop: any goroutine may read it
-	bodyPending     bool           // the request's last byte has not arrived
+	bodyPending     bool           // the request's last byte has not been read
+	arrivedUnread   bool           // bodyPending, but the last byte has arrived: the deadline counts from that
 	bodySource      *minRateReader // where the rest of a streamed request is read from
 	request         request
 	answer          chan answer // buffered for the one answer, so that the loop never waits for the client
@@ -55,12 +56,6 @@
 	clientGone      atomic.Bool // the client has left: nothing more is sent to endpoints for it
 }
 
-// abandonedByClient reports whether the client has closed its connection. It also asks the kernel: the end of the
-// connection may wait unread behind the request if the process was stalled or is short of CPU.
-func (x *exchange) abandonedByClient() bool {
-	return injectedFault != "deserted" && x != nil && (x.clientGone.Load() || x.client != nil && x.client.peekState() == connEnded)
-}
-
 // statusClientLeft in place of an HTTP status tells the client's handler that its client has left.
 const statusClientLeft = 0
 
@@ -124,7 +119,7 @@
 const publishIntervalMs = 50
 
 // pendingCheckIntervalMs is the time between two checks of an exchange whose request has not arrived whole.
-const pendingCheckIntervalMs = 500
+const pendingCheckIntervalMs = 200
 
 // maxPendingDiscoveryEvents bounds the lists and changes from discovery that wait for the loop.
 const maxPendingDiscoveryEvents = 64
@@ -409,7 +404,8 @@
 	if x.answered {
 		return
 	}
-	if latest := l.at(x.deadline.byWhileReceived()); x.bodyPending && x.outstandingLegs > 0 && l.now < latest+l.grace {
+	latest := l.at(x.deadline.byWhileReceived())
+	if x.bodyPending && x.outstandingLegs > 0 && !l.noteArrival(x) && l.now < latest+l.grace {
 		// The client's timeout does not run yet; the minimum body rate bounds the wait.
 		l.addTimer(timer{at: min(l.now+pendingCheckIntervalMs, latest) + l.grace, deadlineOf: x})
 		return
@@ -424,6 +420,17 @@
 	l.removeFinished(x)
 }
 
+// noteArrival starts the deadline of a request that has arrived whole although its end is not read, because its endpoint takes no
+// more of it: its client's timeout is running. It reports whether that is so.
+func (l *loop) noteArrival(x *exchange) bool {
+	if !x.arrivedUnread && x.arrivedWhole(x.request.remaining) {
+		x.arrivedUnread = true
+		x.deadline.setReceived(time.Now().Add(-x.client.unreadFor()))
+		l.addDeadlineTimer(x)
+	}
+	return x.arrivedUnread
+}
+
 // deadlineOf returns x's deadline as the loop's time.
 func (l *loop) deadlineOf(x *exchange) logic.Millis { return l.at(x.deadline.by()) }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -49,6 +49,7 @@
 	bodyBytes            atomic.Int64 // buffered for the bodies in progress
 	maxBodyBytesTotal    int64        // limit of bodyBytes, beyond which requests are refused
 	maxBufferedBodyBytes int64        // a longer request is streamed
+	unreadBudget         unreadBudget // for what the kernel holds of streamed requests
 }
 
 // stallDetector notices when the whole process stalled, because it was stopped or had no CPU: what is read just after a
@@ -226,6 +227,9 @@
 	}
 	class = x.request.product // read before the post: from then on the loop owns x
 	rest, source := x.request.remaining, x.bodySource
+	if rest != nil {
+		defer s.holdUnread(conn, rest)()
+	}
 	s.loop.post(arrival{x})
 	var bodyDone chan error
 	if rest == nil {
@@ -250,8 +254,16 @@
 				// The answer came before the request's end. The rest of the request is read for a while, by receiveBody only
 				// and not after the handler has returned; what follows it on the connection is not read.
 				w.Header().Set("Connection", "close")
-				defer func() { <-bodyDone }()
 				rest.discard()
+				if a.status == statusClientLeft {
+					// An attempt may find the end of the connection before receiveBody does, which knows whether the body is whole.
+					if err := <-bodyDone; err != nil {
+						s.refuseBrokenBody(w, err)
+						return
+					}
+				} else {
+					defer func() { <-bodyDone }()
+				}
 			}
 			if a.status == statusClientLeft {
 				answer{status: http.StatusBadGateway}.write(w)
@@ -273,14 +285,8 @@
 				defer s.activeRequests.Add(-1)
 				continue
 			}
-			s.counters.badInput.Add(1)
 			s.loop.post(clientLeft{x})
-			closeAfterAnswer(w)
-			status := http.StatusBadRequest
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				status = http.StatusRequestTimeout
-			}
-			http.Error(w, "the body did not come whole", status)
+			s.refuseBrokenBody(w, err)
 			return
 		case <-clientDone:
 			x.clientGone.Store(true) // takes effect at once, whatever waits in the loop's queue
@@ -293,6 +299,17 @@
 	}
 }
 
+// refuseBrokenBody answers a request whose body broke off with err.
+func (s *clientServer) refuseBrokenBody(w http.ResponseWriter, err error) {
+	s.counters.badInput.Add(1)
+	closeAfterAnswer(w)
+	status := http.StatusBadRequest
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		status = http.StatusRequestTimeout
+	}
+	http.Error(w, "the body did not come whole", status)
+}
+
 // writeAnswer writes the answer and then counts it under its class.
 func (s *clientServer) writeAnswer(w http.ResponseWriter, a answer, class logic.ProductID) {
 	if a.stream == nil {
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -383,6 +383,7 @@
 	srv := &clientServer{
 		loop: l, names: s.names, products: s.terms.Products, descriptors: descriptors, counters: counters, log: log,
 		maxBodyBytesTotal: int64(s.MemoryMB) << 20 / 4, maxBufferedBodyBytes: max(int64(s.MemoryMB)<<20/256, maxBufferedBodyBytes),
+		unreadBudget: unreadBudget{limit: int64(float64(int64(s.MemoryMB)<<20) * unreadMemoryShare)},
 	}
 	up.updatesPending = func() bool { return srv.stalls.readDelay(time.Since(l.started)) > 0 }
 	s.startPool(ctx, l)
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -16,6 +16,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lynxjunction/lynxjunction/logic"
@@ -265,7 +266,8 @@
 // streamedRequest is the body of a request that is passed on to an endpoint while it arrives.
 type streamedRequest struct {
 	*bodyPipe
-	length int64 // -1 if unknown
+	length    int64                     // -1 if unknown
+	firstRead atomic.Pointer[time.Time] // when its first part was read from the client
 }
 
 // receiveBody reads a streamed request from its client until its end. If the pipe's reader takes no more, the rest is read
@@ -276,6 +278,7 @@
 		var n int
 		n, err = source.Read(chunk)
 		writeStart := time.Now()
+		body.firstRead.CompareAndSwap(nil, &writeStart)
 		if n > 0 && discardUntil.IsZero() && body.write(chunk[:n]) != nil {
 			discardUntil = time.Now().Add(bodyDiscardTime)
 			source.startBy = source.startBy.Add(time.Since(writeStart))
@@ -333,7 +336,7 @@
 	switch {
 	case e.err == nil:
 		return r, keepOpen, fault
-	case g.ctx.Err() != nil:
+	case g.ctx.Err() != nil || e.err == errClientGone:
 		return nil, false, newLegError(e.at, e.err, true)
 	case fault == nil: // a successful answer to a request that was not sent whole
 		return nil, false, &legError{stage: answered, outcome: logic.Errored, cause: errMalformedAnswer}
@@ -350,7 +353,8 @@
 	if _, err := head.WriteTo(k.conn); err != nil {
 		return writing, err
 	}
-	chunked := body.length < 0
+	chunked, unwritten := body.length < 0, body.length
+	lastBytes := []byte("0\r\n\r\n") // without them the endpoint does not have the request and does not run it
 	if first := g.request.body; chunked && len(first) > 0 {
 		if err := writeChunk(k.conn, first); err != nil {
 			return writing, err
@@ -375,17 +379,22 @@
 		if chunked {
 			err = writeChunk(k.conn, data)
 		} else {
-			_, err = k.conn.Write(data)
+			part := data
+			if unwritten -= int64(len(data)); unwritten == 0 {
+				lastBytes, part = []byte{data[len(data)-1]}, data[:len(data)-1]
+			}
+			_, err = k.conn.Write(part)
 		}
 		if err != nil {
 			return writing, err
 		}
 		spare = data
 	}
-	if chunked {
-		if _, err := io.WriteString(k.conn, "0\r\n\r\n"); err != nil {
-			return writing, err
-		}
+	if g.exchange.abandonedByClient() { // all of the request is read, so that its client's close can be seen
+		return writing, errClientGone
+	}
+	if _, err := k.conn.Write(lastBytes); err != nil {
+		return writing, err
 	}
 	u.counters.product(g.request.product).legs.Add(1)
 	g.uploading.Store(false)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -503,6 +503,7 @@
 	for n := 0; n < maxUpdateWaits && u.updatesPending != nil && u.updatesPending() && g.ctx.Err() == nil && time.Now().Before(g.deadline); n++ {
 		time.Sleep(stallTickInterval / 4)
 	}
+	g.exchange.awaitVisibleClose(g.ctx, g.request.remaining)
 	if fault := g.checkStart(k); fault != nil {
 		reusable = stop() // keepIdle checks whether the endpoint is still in service at this address
 		return nil, fault
@@ -537,6 +538,10 @@
 			stop()
 			return nil, newLegError(writing, errEarlyAnswer, false)
 		}
+		if g.exchange.abandonedByClient() {
+			stop()
+			return nil, newLegError(writing, errClientGone, true)
+		}
 		parts = net.Buffers{g.request.body[n-1:]}
 	}
 	if _, err := parts.WriteTo(k.conn); err != nil {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -27,6 +27,11 @@
 func newStubEndpoint(t *testing.T, script func(c net.Conn, r *http.Request) bool) *stubEndpoint {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, err)
+	return newStubEndpointOn(t, ln, script)
+}
+
+// newStubEndpointOn is newStubEndpoint on a given listener.
+func newStubEndpointOn(t *testing.T, ln net.Listener, script func(c net.Conn, r *http.Request) bool) *stubEndpoint {
 	t.Cleanup(func() { ln.Close() })
 	s := &stubEndpoint{Listener: ln, script: script, received: make(chan *http.Request, 100)}
 	go func() {
