A leg ends when its client leaves as a long answer begins

Cause: the handler takes the end of its client's context while the answer is in its channel already, or the loop handles the answer's start before the leaving; the leaving then finds the request answered, and nobody discards the answer that the leg streams. Change: a leaving that the ended handler reports has the loop drop an answer that nobody takes. A leaving that a leg reports does not: that handler may still take it.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -67,7 +67,10 @@
 	arrival struct{ x *exchange }
 	// clientLeft says that the client closed its connection before its answer. It also ends an exchange whose request broke
 	// off or whose handler panicked.
-	clientLeft struct{ x *exchange }
+	clientLeft struct {
+		x            *exchange
+		handlerEnded bool // the handler of the client's request has ended: nobody takes its answer any more
+	}
 	// legEnded says that a leg is over, with its answer or its error.
 	legEnded struct {
 		x     *exchange
@@ -365,7 +368,7 @@
 func (e arrival) handle(l *loop) {
 	x := e.x
 	if before := l.exchanges[x.id]; before != nil && before.abandonedByClient() {
-		clientLeft{before}.handle(l) // the first connection broke, and the client sends the same request again
+		clientLeft{x: before}.handle(l) // the first connection broke, and the client sends the same request again
 	}
 	if l.exchanges[x.id] != nil || l.finishedIDs[x.id] {
 		l.counters.badInput.Add(1)
@@ -385,6 +388,9 @@
 		e.x.clientGone.Store(false)
 		return
 	}
+	if e.handlerEnded {
+		defer e.x.discardAnswer()
+	}
 	if e.x.answered || l.exchanges[e.x.id] != e.x {
 		return
 	}
@@ -397,6 +403,17 @@
 	l.removeFinished(e.x)
 }
 
+// discardAnswer drops an answer that was sent to a handler which has ended. The leg that streams it would wait for its reader.
+func (x *exchange) discardAnswer() {
+	select {
+	case a := <-x.answer:
+		if a.stream != nil {
+			a.stream.discard()
+		}
+	default:
+	}
+}
+
 // answerOverdue answers an exchange that has no answer when its client gives up, so that no exchange is ever lost. It runs
 // after the grace, so that a leg's time-out is normally handled first: after ClientLeft the module would not learn of it
 // any more.
@@ -573,7 +590,7 @@
 				over.reply, over.fault = nil, &legError{stage: written, outcome: logic.Reset}
 			}
 			if over.fault != nil && over.fault.cause == errClientGone {
-				l.post(clientLeft{x})
+				l.post(clientLeft{x: x})
 			}
 			l.post(over)
 		}()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -167,7 +167,7 @@
 			s.counters.panics.Add(1)
 			s.log.Error("panic while serving a client's request", zap.String("fault", fmt.Sprint(fault)), zap.Stack("stack"))
 			if x != nil {
-				s.loop.post(clientLeft{x})
+				s.loop.post(clientLeft{x: x, handlerEnded: true})
 			}
 			if headWritten {
 				panic(http.ErrAbortHandler)
@@ -285,12 +285,12 @@
 				defer s.activeRequests.Add(-1)
 				continue
 			}
-			s.loop.post(clientLeft{x})
+			s.loop.post(clientLeft{x: x, handlerEnded: true})
 			s.refuseBrokenBody(w, err)
 			return
 		case <-clientDone:
 			x.clientGone.Store(true) // takes effect at once, whatever waits in the loop's queue
-			s.loop.post(clientLeft{x})
+			s.loop.post(clientLeft{x: x, handlerEnded: true})
 			// Net/http answers 200 if a handler writes nothing, and a client that closed only its sending side would take that
 			// empty answer for an endpoint's.
 			answer{status: http.StatusBadGateway}.write(w)
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -120,6 +120,36 @@
 	assert.Eventually(t, func() bool { return r.server.counters.legsByOutcome[logic.Cancelled].Load() == 1 }, 5*time.Second, time.Millisecond)
 }
 
+// Guards against a connection to an endpoint and its goroutine that are kept for ever, because the client left as a long answer
+// began and nobody took the answer.
+func TestLegEndsWhenTheClientLeavesAsALongAnswerBegins(t *testing.T) {
+	for _, mayCancel := range []bool{true, false} {
+		t.Run(fmt.Sprintf("may cancel %v", mayCancel), func(t *testing.T) {
+			answering := make(chan bool)
+			long := longBody(8 * maxBufferedBodyBytes)
+			s := newStubEndpoint(t, func(c net.Conn, q *http.Request) bool {
+				<-answering
+				return respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), true)(c, q)
+			})
+			r := startSidecar(t, listOf(s), func(s *Config) {
+				withLongTimeouts(s)
+				s.terms.MayCancel = mayCancel
+			})
+			client := r.dial()
+			client.Write([]byte(requestText("1", "GET", "look", "")))
+			<-s.received
+			resume := r.stopLoop()
+			close(answering)
+			eventually(t, "the start of the answer is queued", func() bool { return len(r.loop.queue) == 1 })
+			client.Close()
+			eventually(t, "the handler has ended", func() bool { return r.server.activeHandlers.Load() == 0 })
+			resume()
+			eventually(t, "the leg has ended", func() bool { return r.openExchanges() == 0 })
+			eventually(t, "its connection is released", func() bool { return r.upstreamConnections() == 0 })
+		})
+	}
+}
+
 // sendLongRequest sends a request with a long body, chunked or with Content-Length, in so many parts, and reads the answer.
 func sendLongRequest(c net.Conn, id, body string, chunked bool, parts int) (*http.Response, string) {
 	head, step := fmt.Sprintf("Content-Length: %d\r\n", len(body)), len(body)/parts
