The body of a streamed answer is taken under its pipe's lock

Seen by the review's race detector: endpointConn.stream read the pipe's buffer after the end of an answer while a cancel cleared it. No wrong answer was seen. Change: bodyPipe.takeBuffered. An answer whose leg was cancelled before is a cancelled leg.

--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -87,6 +87,18 @@
 	return nil, f.err
 }
 
+// takeBuffered returns what is buffered, without waiting.
+func (f *bodyPipe) takeBuffered() ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.discarded {
+		return nil, errReaderGone
+	}
+	p := f.buffered
+	f.buffered = nil
+	return p, nil
+}
+
 // close ends the data with err for the reader: io.EOF if the body is complete. Only the first call counts.
 func (f *bodyPipe) close(err error) {
 	f.mu.Lock()
@@ -197,10 +209,11 @@
 		}
 	}
 	if !pending.finish() {
-		if err == io.EOF {
-			return nil, pending.buffered, nil
+		if err != io.EOF {
+			return nil, nil, err
 		}
-		return nil, nil, err
+		body, err = pending.takeBuffered()
+		return nil, body, err
 	}
 	pending.close(err)
 	if err == io.EOF {
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -321,3 +321,22 @@
 	_, err = f.read(nil)
 	assert.Equal(t, errReaderGone, err)
 }
+
+// Guards against a data race between the end of an answer of unknown length, whose body is then taken, and a cancel that clears it.
+func TestAnswerThatEndsAsItsLegIsCancelled(t *testing.T) {
+	u := newTestUpstream(t, 100)
+	s := newStubEndpoint(t, respondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true))
+	for n := range 3000 {
+		g := newTestLeg(u, s.Addr().String(), 5*time.Second)
+		go func() {
+			<-s.received
+			time.Sleep(time.Duration(n%60) * time.Microsecond)
+			g.cancel()
+		}()
+		if r, fault := u.run(g); fault == nil {
+			require.Equal(t, "hello", string(r.body))
+		} else {
+			require.Equal(t, logic.Cancelled, fault.outcome)
+		}
+	}
+}
