A long answer to a streamed request waits for the request's last byte

Clients could get: a long 200 that an endpoint gave before it had the whole of a streamed request, which it therefore did not run. Short answers were refused; long ones were passed on as soon as they began. Cause: runStreamed asked whether the upload had ended after the answer was read, which for a long answer is after it was passed on. Change: upload.end breaks off an upload that is still going on and tells whether all was written; a 200 head asks it before anything of its body is used.

--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -321,42 +321,51 @@
 func (u *upstream) runStreamed(k *endpointConn, g *leg, head net.Buffers) (r *reply, keepOpen bool, fault *legError) {
 	g.uploading.Store(true)
 	k.conn.SetDeadline(time.Time{})
-	type end struct {
-		at  legStage
-		err error
-	}
-	uploaded := make(chan end, 1)
+	sending := &upload{leg: g, conn: k.conn, done: make(chan struct{})}
+	g.upload = sending
 	go func() {
-		at, err := u.upload(k, g, head)
-		if err != nil {
+		defer close(sending.done)
+		sending.stage, sending.err = u.upload(k, g, head)
+		if sending.err != nil {
 			k.conn.SetReadDeadline(time.Now().Add(u.stallTimeout / 5)) // the endpoint may have answered why it stopped reading
 		}
-		uploaded <- end{at, err}
 	}()
 	r, keepOpen, fault = k.readAnswer(g)
-	early := true
-	select {
-	case e := <-uploaded:
-		uploaded <- e
-		early = e.err != nil
-	default:
-	}
-	if early {
-		g.request.remaining.discard()
-		k.conn.SetWriteDeadline(time.Unix(1, 0))
-	}
-	e := <-uploaded
+	err := sending.end()
 	switch {
-	case e.err == nil:
+	case err == nil:
 		return r, keepOpen, fault
-	case g.ctx.Err() != nil || e.err == errClientGone:
-		return nil, false, newLegError(e.at, e.err, true)
-	case fault == nil: // a successful answer to a request that was not sent whole
-		return nil, false, &legError{stage: answered, outcome: logic.Errored, cause: errMalformedAnswer}
+	case g.ctx.Err() != nil || err == errClientGone:
+		return nil, false, newLegError(sending.stage, err, true)
+	case fault == nil || fault.cause == errEarlyAnswer: // a successful answer to a request that was not sent whole
+		return nil, false, &legError{stage: answered, outcome: logic.Errored, cause: errEarlyAnswer}
 	case fault.outcome == logic.Full:
 		return nil, false, fault
 	}
-	return nil, false, newLegError(writing, e.err, false)
+	return nil, false, newLegError(writing, err, false)
+}
+
+// upload is the sending of a streamed request.
+type upload struct {
+	leg  *leg
+	conn net.Conn
+	done chan struct{} // closed when it has ended; stage and err are set before
+
+	stage legStage // how far the leg came
+	err   error    // nil if the request's last byte was written
+}
+
+// end is called when the answer has come: it breaks off an upload that is still going on, and returns nil if all of the request
+// was written.
+func (s *upload) end() error {
+	select {
+	case <-s.done:
+	default:
+		s.leg.request.remaining.discard()
+		s.conn.SetWriteDeadline(time.Unix(1, 0))
+		<-s.done
+	}
+	return s.err
 }
 
 // upload writes a streamed request. The time for the answer runs from the request's last byte.
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -322,6 +322,40 @@
 	assert.Equal(t, errReaderGone, err)
 }
 
+// Guards against a long answer that is passed on although its endpoint gave it before it had the whole request, which it therefore
+// did not run.
+func TestLongAnswerBeforeTheWholeRequestIsNotPassedOn(t *testing.T) {
+	for name, head := range map[string]string{
+		"content length": fmt.Sprintf("Content-Length: %d\r\n\r\n", 4*maxBufferedBodyBytes),
+		"ends at close":  "Connection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer ln.Close()
+			go func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					io.ReadFull(c, make([]byte, 1000))
+					respondWith("HTTP/1.1 200 OK\r\n"+head+longBody(4*maxBufferedBodyBytes), false)(c, nil)
+					c.(*net.TCPConn).CloseWrite()
+				}
+			}()
+			r := startSidecar(t, listOf(ln), withLongTimeouts)
+			client, body := r.dial(), longBody(4<<20)
+			client.Write([]byte(requestText("1", "POST", "buy", fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body[:1<<20]))
+			time.Sleep(100 * time.Millisecond)
+			go client.Write([]byte(body[1<<20:]))
+			got, text := exchangeOn(client, "")
+			require.NotNil(t, got, text)
+			assert.NotEqual(t, http.StatusOK, got.StatusCode)
+		})
+	}
+}
+
 // Guards against a data race between the end of an answer of unknown length, whose body is then taken, and a cancel that clears it.
 func TestAnswerThatEndsAsItsLegIsCancelled(t *testing.T) {
 	u := newTestUpstream(t, 100)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -65,6 +65,7 @@
 	latestStart        time.Time                          // no first byte after that: endpoints may run a repeat a second time
 	neverRan           bool                               // the request is known not to have run
 	exchange           *exchange                          // nil for a probe
+	upload             *upload                            // of a streamed request; nil until it begins
 	exchangeOver       atomic.Bool                        // the exchange has its answer or its client has left
 	leaseEnded         *atomic.Bool                       // set while the lease on the list is over; nil for no lease
 	cancelDial         atomic.Pointer[context.CancelFunc] // ends the wait for a connection
@@ -620,6 +621,9 @@
 			return nil, false, legErrorFor(err)
 		}
 	}
+	if response.StatusCode == http.StatusOK && g.upload != nil && g.upload.end() != nil {
+		return nil, false, errored(errEarlyAnswer)
+	}
 	var body []byte
 	var err error
 	long := response.ContentLength > maxBufferedBodyBytes || response.ContentLength < 0
