--- a/internal/sidecar/pool_test.go
+++ b/internal/sidecar/pool_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -100,10 +99,6 @@
 	}
 }
 
-func requireEventually(t *testing.T, text string, done func() bool) {
-	require.Eventually(t, done, 10*time.Second, time.Millisecond, text)
-}
-
 // Of two sidecars in a pool to which lists are pushed, one must learn of the other's legs in flight and avoid that
 // endpoint. Malformed datagrams, even many of them, must do no harm.
 func TestPoolOnLoopback(t *testing.T) {
@@ -132,14 +127,14 @@
 		for n := range pool {
 			heard := pool[n].loop.counters.lists.Load()
 			fmt.Fprintln(pushConns[n], list)
-			requireEventually(t, "the list", func() bool { return pool[n].loop.counters.lists.Load() > heard })
+			eventually(t, "the list", func() bool { return pool[n].loop.counters.lists.Load() > heard })
 		}
 	}
 	push(listOf(slow.Listener))
 	assert.Zero(t, pool[0].loop.counters.listCallsEnded.Load(), "no call to discovery failed, since none is made")
 	held := pool[0].dial()
 	fmt.Fprint(held, requestText("1", "GET", "look/1", ""))
-	requireEventually(t, "the other sidecar is notified of the leg", func() bool { return pool[1].loop.counters.messagesReceived.Load() > 0 })
+	eventually(t, "the other sidecar is notified of the leg", func() bool { return pool[1].loop.counters.messagesReceived.Load() > 0 })
 	push(listOf(slow.Listener, quick.Listener))
 	for n := range 5 {
 		assert.Equal(t, 200, pool[1].status(requestText(fmt.Sprint("q", n), "GET", "look/1", "")), "the idle endpoint serves the request")
@@ -149,7 +144,7 @@
 			conns[0].WriteTo([]byte(text), addrs[1])
 		}
 	}
-	requireEventually(t, "a message that is too long is dropped", func() bool { return pool[1].loop.counters.messagesLost.Load() > 0 })
+	eventually(t, "a message that is too long is dropped", func() bool { return pool[1].loop.counters.messagesLost.Load() > 0 })
 	assert.Equal(t, 200, pool[1].status(requestText("last", "GET", "look/1", "")))
 	assert.Zero(t, pool[1].loop.counters.panics.Load())
 }
@@ -175,7 +170,7 @@
 	assert.Less(t, float64(s.terms.AskWithin), 300.0, "the agent is called again within the drain grace")
 	r := startSidecar(t, listOf(a), func(t *Config) { t.Discovery, t.terms, t.names, t.listPushed = s.Discovery, s.terms, s.names, true })
 	<-agent.received
-	requireEventually(t, "the agent's list", func() bool { return r.loop.watchHeard.Load() })
+	eventually(t, "the agent's list", func() bool { return r.loop.watchHeard.Load() })
 	for n := range 4 {
 		assert.Equal(t, 200, r.status(requestText(fmt.Sprint("p", n), "GET", "look/1", "")))
 	}
