--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -83,7 +83,7 @@
 	errLegCancelled        = errors.New("leg cancelled before the first byte was sent")
 	errExchangeOver        = errors.New("exchange ended before the first byte was sent")
 	errLocalityChanged     = errors.New("endpoint changed its zone or kind before the first byte was sent")
-	errClientGone          = errors.New("client disconnected before the first byte was sent")
+	errClientGone          = errors.New("client disconnected before the request's last byte was sent")
 	errLeaseEnded          = errors.New("lease on the list of endpoints ended before the first byte was sent")
 )
 
