A request is counted as in flight before its attempt may be out

Cause, traced: ServeHTTP counted a request after it posted it to the loop; the endpoint may have it before the handler goes on. Change: count, then post.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -230,14 +230,16 @@
 	if rest != nil {
 		defer s.holdUnread(conn, rest)()
 	}
-	s.loop.post(arrival{x})
-	var bodyDone chan error
-	if rest == nil {
+	if rest == nil { // counted before its leg may be out
 		s.activeRequests.Add(1)
 		defer s.activeRequests.Add(-1)
 	} else {
-		bodyDone = make(chan error, 1)
 		s.transfers.Add(1)
+	}
+	s.loop.post(arrival{x})
+	var bodyDone chan error
+	if rest != nil {
+		bodyDone = make(chan error, 1)
 		go func() {
 			defer s.transfers.Add(-1)
 			bodyDone <- s.receiveBody(x, rest, source)
