Review case 10: an id runs at two processes when the one between them has ended

Cause: processes of an upgrade are connected in a chain, and claims go along it. If a second upgrade follows while the first process still ends, the process between them ends first; the two others tell each other nothing any more.

Change: the case with its claim and script; the stand-ins start processes with a console. Nothing is fixed.

--- a/review/standin2/common.go
+++ b/review/standin2/common.go
@@ -215,8 +215,16 @@
 // startSidecar writes the start file and starts the program with the run command of the deploy file. It returns once the
 // sidecar answers GET /up with 200.
 func (p *play) startSidecar(discoveryAddr string, t terms) *sidecar {
-	s := &sidecar{listen: freePort(), exited: make(chan struct{})}
-	text, err := json.Marshal(object{
+	temp, err := os.MkdirTemp(p.dir, "tmp")
+	must(err)
+	return p.startProcess(discoveryAddr, t, freePort(), "", temp)
+}
+
+// startProcess does the same at a given address, with a console unless its address is empty, and with a given folder as
+// $TMPDIR. With a console it returns once that says yes.
+func (p *play) startProcess(discoveryAddr string, t terms, listen, console, temp string) *sidecar {
+	s := &sidecar{listen: listen, exited: make(chan struct{})}
+	config := object{
 		"name": "s0", "listen": s.listen, "discovery": discoveryAddr, "seed": "44994918176c3c57", "known": nil,
 		"limits": object{"cores": 1, "memory_mb": t.memoryMB, "sockets": t.sockets},
 		"settings": object{
@@ -226,15 +234,21 @@
 			"guarantees":    object{"ask-within": 4000, "cold": 5000, "cold-from": 0.3, "drain-grace": 500, "grace-to-answer": 20},
 			"registry-mode": "on_request", "tick": 1,
 		},
-	})
-	must(err)
-	temp, err := os.MkdirTemp(p.dir, "tmp")
+	}
+	ready := "http://" + s.listen + "/up"
+	if console != "" {
+		config["console"], ready = console, "http://"+console+"/healthcheck"
+	}
+	text, err := json.Marshal(config)
 	must(err)
-	path := filepath.Join(temp, "start.json")
+	path := filepath.Join(p.dir, "start-"+filepath.Base(temp)+".json")
 	must(os.WriteFile(path, text, 0o600))
 	s.cmd = exec.Command("/bin/sh", "-c", p.runCommand())
 	s.cmd.Dir = p.root
 	s.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_NAME=s0", "RELAY_LISTEN="+s.listen, "RELAY_DISCOVERY="+discoveryAddr, "TMPDIR="+temp)
+	if console != "" {
+		s.cmd.Env = append(s.cmd.Env, "RELAY_CONSOLE="+console)
+	}
 	must(s.cmd.Start())
 	go func() { s.cmd.Wait(); close(s.exited) }()
 	p.atEnd(func() {
@@ -242,10 +256,10 @@
 		<-s.exited
 	})
 	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		if r, err := http.Get("http://" + s.listen + "/up"); err == nil {
+		if r, err := http.Get(ready); err == nil {
 			r.Body.Close()
 			if r.StatusCode == http.StatusOK {
-				p.note("the sidecar is up at %s", s.listen)
+				p.note("process %d is ready at %s", s.cmd.Process.Pid, s.listen)
 				return s
 			}
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -13,7 +13,8 @@
 const longestCase = 115 * time.Second
 
 // cases are the plays by the number of their folder. Each reports whether its rule was broken.
-var cases = map[int]func(p *play) (broken bool){6: repeatOutsideTheWindow, 7: firstAttemptEndsLast, 8: readAndClosed, 9: restartBehindPipeline}
+var cases = map[int]func(p *play) (broken bool){6: repeatOutsideTheWindow, 7: firstAttemptEndsLast, 8: readAndClosed, 9: restartBehindPipeline,
+	10: idRunsAtTwoProcesses}
 
 func main() {
 	number, recordPath := flag.Int("case", 0, "number of the case"), flag.String("record", "record.txt", "file of the record")
