Review case 8: a connection that was closed before its request came is not counted

The check took each end in good order for a request that had been read. A connection that the sidecar closes before the request comes looks the same to a client that only reads: EOF comes first, and the kernel's reset stands behind it.

--- a/review/standin2/crowd.go
+++ b/review/standin2/crowd.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -73,6 +74,8 @@
 		c.SetReadDeadline(whole.Add(patience))
 		_, err = c.reader.Peek(1)
 		switch {
+		case errors.Is(err, io.EOF) && wasReset(c.Conn): // closed before the request was written
+			count("shut unread before the request came, which is allowed")
 		case errors.Is(err, io.EOF): // with a byte left unread, the kernel would have reset the connection
 			_, ran := runs.Load(id)
 			p.note("%s: written whole on a new connection, and %v later its connection is closed in good order with no byte of an answer; it reached an endpoint: %v",
@@ -134,3 +137,19 @@
 	p.note("answers of the application: %v; read and never answered: %d; half requests: %d", counts, lost.Load(), halves.Load())
 	return lost.Load() > 0
 }
+
+// wasReset reports whether a connection on which EOF was read has been reset by the other side, or can't be told. A kernel resets
+// a connection when bytes come after it was closed there: reading says EOF all the same, but writing would fail.
+func wasReset(c net.Conn) bool {
+	time.Sleep(20 * time.Millisecond) // for the reset to arrive
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := true
+	raw.Control(func(fd uintptr) {
+		pending, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+		reset = err != nil || pending != 0
+	})
+	return reset
+}
