An attempt's last byte is written only while its key is known and its request open

A repeat, a hedge or the first attempt whose endpoint pauses, is read slowly or connects late was written to its end after the endpoints had forgotten the key of the attempt that ran; where attempts may not be cancelled, also after the final answer.

Cause: whether the exchange is over (leg.exchangeOver) and how long the key is known (leg.latestStart) were looked at in checkStart, before the first byte. An endpoint begins a request when its last byte has come. latestStart was also counted from the start of the earlier attempt, not from its run, was set once, and never for a first attempt, which a hedge may overtake.

Ruled out: a repeat that begins late (checkStart holds, TestIdempotencyKeyExpires...), a second attempt sent by the module out of time (none in the record), a resend by the endpoint's side.

The last byte is a commit, decided by a gate of the exchange under one lock: none after the final answer or the client's leaving, and all commits of a keyed request within 0.95 of the key's time from the first commit that may have run, whichever attempt that was. An attempt that is refused, or breaks before its last byte, opens no window. What was not committed has not run: it is given up at the window's end or with the answer, also where attempts may not be cancelled. The zone and kind of a bound product's endpoint hold up to the last byte too; the lease and the list are looked at before the first byte only, as a drain counts from there. upload.go: a write deadline that was set behind the end of an upload let it wait for up to 12 s (by reading).

Three cases of TestLegsThatCannotHaveRun set the same conditions through the gate in place of the removed fields.

--- a/internal/sidecar/attempt_error.go
+++ b/internal/sidecar/attempt_error.go
@@ -35,6 +35,11 @@
 
 func (e *legError) Unwrap() error { return e.cause }
 
+// neverRan reports whether the request is known not to have run.
+func (e *legError) neverRan() bool {
+	return e != nil && (e.stage <= writing || e.outcome == logic.Full)
+}
+
 // newLegError returns the legError for a network error, or for a leg that was cancelled.
 func newLegError(stage legStage, cause error, cancelled bool) *legError {
 	e := &legError{stage: stage, outcome: logic.Reset, cause: cause}
--- a/internal/sidecar/leg.go
+++ b/internal/sidecar/leg.go
@@ -1,4 +1,4 @@
-// This file holds one leg: what it has to keep to, and the last check before its first byte is written.
+// This file holds one leg: what it has to keep to, and the checks before the first and the last byte of its request.
 
 package sidecar
 
@@ -19,19 +19,17 @@
 	sentAt        logic.Millis
 	deadline      time.Time
 	ctx           context.Context
-	cancel        context.CancelFunc
-	reported      bool                               // its outcome was passed to the module
-	uploading     atomic.Bool                        // a streamed request whose last byte is not written to the endpoint yet
-	forwardFrom   time.Time                          // an answer of unknown length is forwarded from then on
-	latestStart   time.Time                          // no first byte after that: endpoints may run a repeat a second time
-	neverRan      bool                               // the request is known not to have run
-	exchange      *exchange                          // nil for a probe
-	upload        *upload                            // of a streamed request; nil until it begins
-	exchangeOver  atomic.Bool                        // the exchange has its answer or its client has left
-	leaseEnded    *atomic.Bool                       // set while the lease on the list is over; nil for no lease
-	cancelDial    atomic.Pointer[context.CancelFunc] // ends the wait for a connection
-	localityBound bool                               // the product may be sent to certain zones and kinds of machine only
-	locality      [2]string                          // zone and kind of the endpoint when it was chosen
+	cancelCause   context.CancelCauseFunc
+	reported      bool         // its outcome was passed to the module
+	uploading     atomic.Bool  // a streamed request whose last byte is not written to the endpoint yet
+	forwardFrom   time.Time    // an answer of unknown length is forwarded from then on
+	neverRan      bool         // the request is known not to have run
+	exchange      *exchange    // nil for a probe
+	upload        *upload      // of a streamed request; nil until it begins
+	committedAt   time.Time    // guarded by the exchange's gate; zero for not yet
+	leaseEnded    *atomic.Bool // set while the lease on the list is over; nil for no lease
+	localityBound bool         // the product may be sent to certain zones and kinds of machine only
+	locality      [2]string    // zone and kind of the endpoint when it was chosen
 
 	claim              func() bool  // claims the request for this process; nil if there can be no other
 	onAnswerStart      func(*reply) // called when the answer is to be forwarded
@@ -52,47 +50,81 @@
 	return g.exchange.deadline.by()
 }
 
-// preventStart stops a leg whose exchange is over if its first byte is not written yet. It does not cancel a leg that has
-// started, since a deployment may forbid that.
-func (g *leg) preventStart() {
-	g.exchangeOver.Store(true)
-	if cancelDial := g.cancelDial.Load(); cancelDial != nil {
-		(*cancelDial)()
+// cancel ends the leg, whose result is no longer needed.
+func (g *leg) cancel() { g.cancelCause(errLegCancelled) }
+
+// cancelled returns why the leg was cancelled; nil if it was not.
+func (g *leg) cancelled() error { return context.Cause(g.ctx) }
+
+// gate returns the gate of the leg's exchange; nil for a probe.
+func (g *leg) gate() *commitGate {
+	if g.exchange == nil {
+		return nil
 	}
+	return &g.exchange.gate
 }
 
 var (
 	errEndpointUnavailable = errors.New("endpoint left service, changed its address or was drained by an operator before the first byte was sent")
-	errRepeatWindowOver    = errors.New("endpoints may have forgotten the idempotency key before the first byte was sent")
-	errLegCancelled        = errors.New("leg cancelled before the first byte was sent")
-	errExchangeOver        = errors.New("exchange ended before the first byte was sent")
-	errLocalityChanged     = errors.New("endpoint changed its zone or kind before the first byte was sent")
+	errRepeatWindowOver    = errors.New("endpoints may have forgotten the idempotency key before the request's last byte was sent")
+	errLegCancelled        = errors.New("leg cancelled before the request's last byte was sent")
+	errExchangeOver        = errors.New("exchange ended before the request's last byte was sent")
+	errLocalityChanged     = errors.New("endpoint changed its zone or kind before the request's last byte was sent")
 	errClientGone          = errors.New("client disconnected before the request's last byte was sent")
 	errLeaseEnded          = errors.New("lease on the list of endpoints ended before the first byte was sent")
 )
 
-// checkStart is called immediately before a leg's first byte is written, the last moment at which the leg can be held
-// back. It is the only check that covers updates received while the leg was dialling or the process was stalled.
-func (g *leg) checkStart(k *endpointConn) *legError {
+// withheld returns the error of a leg whose request was held back, all of it or its last byte; nil if cause is nil.
+func withheld(cause error) *legError {
+	switch cause {
+	case nil:
+		return nil
+	case errLeaseEnded:
+		return &legError{stage: writing, outcome: logic.NotSent, cause: cause}
+	case errEndpointUnavailable, errLocalityChanged, errRepeatWindowOver:
+		return newLegError(writing, cause, false)
+	}
+	return newLegError(writing, cause, true)
+}
+
+// isWithheld reports whether an upload ended with the error of a check, and not of the connection.
+func isWithheld(err error) bool {
+	switch err {
+	case errClientGone, errExchangeOver, errRepeatWindowOver, errLocalityChanged:
+		return true
+	}
+	return false
+}
+
+// checkStart is called immediately before a leg's first byte is written. It is the only check of the list that covers updates
+// received while the leg was dialling or the process was stalled: a request that has begun may be sent to its end.
+func (g *leg) checkStart(k *endpointConn) error {
+	err := g.checkRequired()
 	switch {
-	case g.ctx.Err() != nil:
-		return newLegError(writing, errLegCancelled, true)
-	case g.exchangeOver.Load():
-		return newLegError(writing, errExchangeOver, true)
-	case g.exchange.abandonedByClient():
-		return newLegError(writing, errClientGone, true)
+	case err != nil:
+		return err
 	case g.leaseEnded != nil && g.leaseEnded.Load():
-		return &legError{stage: writing, outcome: logic.NotSent, cause: errLeaseEnded}
-	case g.localityBound && g.endpoint.currentLocality() != g.locality:
-		return newLegError(writing, errLocalityChanged, false)
+		return errLeaseEnded
 	case !g.endpoint.accepts(k.addr):
-		return newLegError(writing, errEndpointUnavailable, false)
-	case !g.latestStart.IsZero() && time.Now().After(g.latestStart):
-		return newLegError(writing, errRepeatWindowOver, false)
+		return errEndpointUnavailable
 	}
 	return nil
 }
 
+// checkRequired checks what must hold from a leg's first byte to its last one, and is called before either. The end of an
+// exchange and the repeat window are checked once more by the commit.
+func (g *leg) checkRequired() error {
+	switch {
+	case g.ctx.Err() != nil:
+		return g.cancelled()
+	case g.exchange.abandonedByClient():
+		return errClientGone
+	case g.localityBound && g.endpoint.currentLocality() != g.locality:
+		return errLocalityChanged
+	}
+	return g.gate().check()
+}
+
 // reservation returns the memory of the leg's exchange; nil for a probe.
 func (g *leg) reservation() *reservation {
 	if g.exchange == nil {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -45,6 +45,7 @@
 	bodyPending     bool           // the request's last byte has not been read
 	bodySource      *minRateReader // where the rest of a streamed request is read from
 	request         request
+	gate            commitGate   // not owned by the loop
 	memory          *reservation // not owned by the loop; nil for no limit
 	answer          chan answer  // buffered for the one answer, so that the loop never waits for the client
 	answered        bool
@@ -390,6 +391,9 @@
 	l.unanswered.Add(1)
 	l.exchanges[x.id] = x
 	l.addDeadlineTimer(x)
+	if p := l.productOf(x); p != nil && p.Effect == logic.Deduplicated {
+		x.gate.setRepeatWindow(toDuration(p.DedupMemory))
+	}
 	l.module.Arrive(x.id, x.product, x.tenant, x.key, l.deadlineOf(x), x.cost, x.bodyPending)
 }
 
@@ -524,7 +528,7 @@
 	x.outstandingLegs--
 	defer l.removeFinished(x)
 	if e.fault != nil {
-		outcome, g.neverRan = e.fault.outcome, e.fault.stage <= writing || e.fault.outcome == logic.Full
+		outcome, g.neverRan = e.fault.outcome, e.fault.neverRan()
 	}
 	if line := l.log.Check(zap.DebugLevel, "leg"); line != nil {
 		line.Write(zap.String("id", string(x.id)), zap.Int("attempt", int(e.n)), zap.String("outcome", outcomeNames[outcome]),
@@ -572,7 +576,8 @@
 	g := &leg{sentAt: l.now, deadline: time.Now().Add(toDuration(giveUpAfter)), request: &x.request, endpoint: l.upstream.find(to)}
 	l.setLegBounds(x, g)
 	g.exchange, g.leaseEnded = x, &l.suspended
-	g.ctx, g.cancel = context.WithCancel(l.ctx)
+	g.ctx, g.cancelCause = context.WithCancelCause(l.ctx)
+	x.gate.add(g)
 	n := logic.LegNo(len(x.legs))
 	if n > 0 {
 		x.memory.grow(attemptBytes) // the request has reserved that of its first attempt
@@ -611,6 +616,7 @@
 			if over.fault != nil && over.fault.cause == errClaimedElsewhere {
 				l.post(claimLost{x: x})
 			}
+			x.gate.end(g, over.fault)
 			l.post(over)
 		}()
 		if over.fault == nil {
@@ -619,23 +625,23 @@
 	}()
 }
 
-// setLegBounds sets what a leg has to keep to by its exchange's product: whether its endpoint's placement matters, the latest
-// time for the first byte of its request, and the time from which an answer of unknown length is passed on while it arrives.
+// productOf returns an exchange's product; nil for an unknown one.
+func (l *loop) productOf(x *exchange) *logic.Product {
+	if x.product < 0 || int(x.product) >= len(l.products) {
+		return nil
+	}
+	return &l.products[x.product]
+}
+
+// setLegBounds sets what a leg has to keep to by its exchange's product: whether its endpoint's placement matters, and the time
+// from which an answer of unknown length is passed on while it arrives.
 func (l *loop) setLegBounds(x *exchange, g *leg) {
 	g.forwardFrom = time.Now().Add(time.Until(g.deadline) / 2)
-	if x.product < 0 || int(x.product) >= len(l.products) {
+	p := l.productOf(x)
+	if p == nil {
 		return
 	}
-	p := l.products[x.product]
 	g.localityBound = p.Bound()
-	if p.Effect == logic.Deduplicated && p.DedupMemory > 0 {
-		for _, earlier := range x.legs { // the first leg that may have run: the idempotency key is remembered from then on
-			if !earlier.neverRan {
-				g.latestStart = l.started.Add(toDuration(earlier.sentAt - logic.Millis(l.startedMs) + p.DedupMemory*repeatWindowShare))
-				break
-			}
-		}
-	}
 	if p.Expected > 0 {
 		g.forwardFrom = time.Now().Add(toDuration(p.Expected * streamAfterShare))
 	}
@@ -736,13 +742,11 @@
 	x.answer <- a
 }
 
-// markAnswered marks an exchange as answered and keeps its legs that have not started from starting.
+// markAnswered marks an exchange as answered and keeps its legs that were not sent whole from being completed.
 func (l *loop) markAnswered(x *exchange) {
 	x.answered = true
 	l.unanswered.Add(-1)
-	for _, g := range x.legs {
-		g.preventStart()
-	}
+	x.gate.close()
 }
 
 // removeFinished releases an exchange that is answered and has no outstanding leg. Its id is kept, so that a repeated
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -43,7 +43,7 @@
 	target.mu.Unlock()
 	head := []byte("GET /metrics/load HTTP/1.1\r\nHost: " + addr + "\r\n")
 	probeLeg := &leg{endpoint: target, addr: addr, sentAt: l.now, deadline: time.Now().Add(probeTimeout), request: &request{method: "GET", product: -1, head: head, isProbe: true}}
-	probeLeg.ctx, probeLeg.cancel = context.WithCancel(l.ctx)
+	probeLeg.ctx, probeLeg.cancelCause = context.WithCancelCause(l.ctx)
 	go func() {
 		defer probeLeg.cancel()
 		r, fault := l.upstream.run(probeLeg)
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -4,6 +4,7 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -93,12 +94,14 @@
 func (u *upstream) runStreamed(k *endpointConn, g *leg, head net.Buffers) (r *reply, keepOpen bool, fault *legError) {
 	g.uploading.Store(true)
 	k.conn.SetDeadline(time.Time{})
-	sending := &upload{leg: g, conn: k.conn, done: make(chan struct{})}
+	sending := &upload{leg: g, conn: k, done: make(chan struct{})}
+	sending.ctx, sending.cancel = context.WithCancel(g.ctx)
+	defer sending.cancel()
 	g.upload = sending
 	go func() {
 		defer close(sending.done)
-		sending.stage, sending.err = u.upload(k, g, head)
-		if sending.err != nil {
+		sending.stage, sending.err = sending.run(u.counters, head)
+		if sending.err != nil && g.ctx.Err() == nil {
 			k.conn.SetReadDeadline(time.Now().Add(u.stallTimeout / 5)) // the endpoint may have answered why it stopped reading
 		}
 	}()
@@ -107,8 +110,10 @@
 	switch {
 	case err == nil:
 		return r, keepOpen, fault
-	case g.ctx.Err() != nil || err == errClientGone:
+	case g.ctx.Err() != nil:
 		return nil, false, newLegError(sending.stage, err, true)
+	case isWithheld(err):
+		return nil, false, withheld(err)
 	case fault == nil || fault.cause == errEarlyAnswer: // a successful answer to a request that was not sent whole
 		return nil, false, &legError{stage: answered, outcome: logic.Errored, cause: errEarlyAnswer}
 	case fault.outcome == logic.Full:
@@ -119,9 +124,11 @@
 
 // upload is the sending of a streamed request.
 type upload struct {
-	leg  *leg
-	conn net.Conn
-	done chan struct{} // closed when it has ended; stage and err are set before
+	leg    *leg
+	conn   *endpointConn
+	ctx    context.Context // ends with the leg, and when the upload is broken off
+	cancel context.CancelFunc
+	done   chan struct{} // closed when it has ended; stage and err are set before
 
 	stage legStage // how far the leg came
 	err   error    // nil if the request's last byte was written
@@ -133,45 +140,58 @@
 	select {
 	case <-s.done:
 	default:
+		s.cancel()
 		s.leg.request.remaining.discard()
-		s.conn.SetWriteDeadline(time.Unix(1, 0))
+		s.conn.conn.SetWriteDeadline(time.Unix(1, 0))
 		<-s.done
 	}
 	return s.err
 }
 
-// upload writes a streamed request. The time for the answer runs from the request's last byte.
-func (u *upstream) upload(k *endpointConn, g *leg, head net.Buffers) (legStage, error) {
-	k.conn.SetWriteDeadline(time.Now().Add(streamStallTimeout))
-	if _, err := head.WriteTo(k.conn); err != nil {
+// run writes a streamed request. The time for the answer runs from the request's last byte.
+func (s *upload) run(counters *Counters, head net.Buffers) (legStage, error) {
+	g, conn := s.leg, s.conn.conn
+	s.extendWriteDeadline()
+	if _, err := head.WriteTo(conn); err != nil {
 		return writing, err
 	}
-	lastBytes, err := g.writeAllButLast(k.conn)
+	lastBytes, err := s.writeAllButLast()
 	if err != nil {
 		return writing, err
 	}
-	if g.exchange.abandonedByClient() { // all of the request is read, so that its client's close can be seen
-		return writing, errClientGone
+	if err := g.checkRequired(); err != nil { // all of the request is read, so that its client's close can be seen
+		return writing, err
+	}
+	if err := g.gate().commit(g); err != nil {
+		return writing, err
 	}
-	if _, err := k.conn.Write(lastBytes); err != nil {
+	if _, err := conn.Write(lastBytes); err != nil {
 		return writing, err
 	}
-	u.counters.product(g.request.product).legs.Add(1)
+	counters.product(g.request.product).legs.Add(1)
 	g.uploading.Store(false)
 	if g.onRequestWritten != nil {
 		g.onRequestWritten()
 	}
-	k.conn.SetReadDeadline(g.currentDeadline())
+	conn.SetReadDeadline(g.currentDeadline())
 	if g.ctx.Err() != nil {
-		k.conn.SetReadDeadline(time.Unix(1, 0))
+		conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return written, nil
 }
 
+// extendWriteDeadline gives the next part of the request its time, unless the upload has been broken off.
+func (s *upload) extendWriteDeadline() {
+	s.conn.conn.SetWriteDeadline(time.Now().Add(streamStallTimeout))
+	if s.ctx.Err() != nil {
+		s.conn.conn.SetWriteDeadline(time.Unix(1, 0))
+	}
+}
+
 // writeAllButLast writes the body of a streamed request while it arrives, but for the last bytes, which it returns: the last byte
 // of a body with a length, the end of a body in chunks. Without them an endpoint does not have the request and does not run it.
-func (g *leg) writeAllButLast(conn net.Conn) (lastBytes []byte, err error) {
-	body := g.request.remaining
+func (s *upload) writeAllButLast() (lastBytes []byte, err error) {
+	g, conn, body := s.leg, s.conn.conn, s.leg.request.remaining
 	write, unwritten := conn.Write, body.length
 	if body.length < 0 {
 		write = func(p []byte) (int, error) { return writeChunk(conn, p) }
@@ -198,7 +218,7 @@
 		if unwritten -= int64(len(data)); unwritten == 0 {
 			lastBytes, part = []byte{data[len(data)-1]}, data[:len(data)-1]
 		}
-		conn.SetWriteDeadline(time.Now().Add(streamStallTimeout))
+		s.extendWriteDeadline()
 		if _, err := write(part); err != nil {
 			return nil, err
 		}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -19,9 +19,6 @@
 	// reuseDelayShare is the reuse delay as a share of the stall timeout, which is the connect timeout if there is one.
 	// Surplus bytes after an answer must show up before the next request is written.
 	reuseDelayShare = 0.1
-	// repeatWindowShare is the part of the time for which endpoints recognise a repeat in which a leg may start. The
-	// rest is left for its transmission.
-	repeatWindowShare = 0.95
 	// maxUpdateWaits bounds the waits, each of stallTickInterval/4, in which a process that was stalled can read its updates.
 	// Together they are as long as a stall counts as recent.
 	maxUpdateWaits = 8
@@ -278,17 +275,14 @@
 	}
 	ctx, cancel := context.WithDeadline(g.ctx, deadline)
 	defer cancel()
-	if g.cancelDial.Store(&cancel); g.exchangeOver.Load() {
-		cancel()
-	}
 	if !u.sockets.waitForUpstream(ctx) {
-		return nil, newLegError(notDialled, errNoDescriptor, g.ctx.Err() != nil || g.exchangeOver.Load())
+		return nil, newLegError(notDialled, errNoDescriptor, g.ctx.Err() != nil)
 	}
 	u.counters.dialled.Add(1)
 	conn, err := u.dial(ctx, "tcp", g.addr)
 	if err != nil {
 		u.sockets.releaseUpstream()
-		return nil, newLegError(dialling, err, g.ctx.Err() != nil || g.exchangeOver.Load())
+		return nil, newLegError(dialling, err, g.ctx.Err() != nil)
 	}
 	return newEndpointConn(conn, g.addr, u.stallTimeout, u.sockets.memory, u.counters), nil
 }
@@ -303,7 +297,13 @@
 }
 
 // run sends one leg's request, at most once, and reads the answer.
-func (u *upstream) run(g *leg) (r *reply, fault *legError) {
+func (u *upstream) run(g *leg) (*reply, *legError) {
+	r, fault := u.attempt(g)
+	return r, g.withRepeatWindowOver(fault)
+}
+
+// attempt is run, but for the error of a leg that was given up at the end of the repeat window.
+func (u *upstream) attempt(g *leg) (r *reply, fault *legError) {
 	k, fault := u.connect(g)
 	if fault != nil {
 		return nil, fault
@@ -327,7 +327,7 @@
 		reusable = stop()
 		return nil, newLegError(writing, errClaimedElsewhere, true)
 	}
-	if fault := g.checkStart(k); fault != nil {
+	if fault := withheld(g.checkStart(k)); fault != nil {
 		reusable = stop() // keepIdle checks whether the endpoint is still in service at this address
 		return nil, fault
 	}
@@ -349,27 +349,9 @@
 			time.AfterFunc(u.reuseDelay, func() { secondConn.Close() })
 		}
 	}
-	if n := len(g.request.body); n > copyChunkBytes {
-		// An endpoint that answers before the last byte has not read the whole request. The last byte is held back
-		// until a check has shown that no early answer is there.
-		parts = net.Buffers{parts[0], parts[1], g.request.body[:n-1]}
-		if _, err := parts.WriteTo(k.conn); err != nil {
-			stop()
-			return nil, newLegError(writing, err, g.ctx.Err() != nil)
-		}
-		if !k.isQuiet() {
-			stop()
-			return nil, newLegError(writing, errEarlyAnswer, false)
-		}
-		if g.exchange.abandonedByClient() {
-			stop()
-			return nil, newLegError(writing, errClientGone, true)
-		}
-		parts = net.Buffers{g.request.body[n-1:]}
-	}
-	if _, err := parts.WriteTo(k.conn); err != nil {
+	if fault := g.writeRequest(k, parts); fault != nil {
 		stop()
-		return nil, newLegError(writing, err, g.ctx.Err() != nil)
+		return nil, fault
 	}
 	if !g.request.isProbe {
 		u.counters.product(g.request.product).legs.Add(1)
@@ -380,6 +362,31 @@
 	return r, fault
 }
 
+// writeRequest writes a request that is held in memory: its head in two parts and its body. The last byte of a long one is
+// held back until nothing speaks against it any more.
+func (g *leg) writeRequest(k *endpointConn, parts net.Buffers) *legError {
+	if n := len(g.request.body); n > copyChunkBytes {
+		allButLast := net.Buffers{parts[0], parts[1], g.request.body[:n-1]}
+		if _, err := allButLast.WriteTo(k.conn); err != nil {
+			return newLegError(writing, err, g.ctx.Err() != nil)
+		}
+		if !k.isQuiet() { // an endpoint that answers before the last byte has not read the whole request
+			return newLegError(writing, errEarlyAnswer, false)
+		}
+		if fault := withheld(g.checkRequired()); fault != nil {
+			return fault
+		}
+		parts = net.Buffers{g.request.body[n-1:]}
+	}
+	if fault := withheld(g.gate().commit(g)); fault != nil {
+		return fault
+	}
+	if _, err := parts.WriteTo(k.conn); err != nil {
+		return newLegError(writing, err, g.ctx.Err() != nil)
+	}
+	return nil
+}
+
 // keepIdle adds a connection to its endpoint's idle ones, unless the endpoint is unavailable or has a new address by now.
 // Beyond the limit the connection that was idle longest is closed.
 func (u *upstream) keepIdle(e *endpoint, k *endpointConn) bool {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -105,7 +105,7 @@
 	g := &leg{endpoint: u.find("s"), addr: addr, deadline: time.Now().Add(timeout), request: &request{
 		method: "POST", head: []byte("POST /p HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 2\r\n"), body: []byte("ab"),
 	}}
-	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.ctx, g.cancelCause = context.WithCancelCause(context.Background())
 	g.onAnswerStart = func(r *reply) { r.flow.discard() }
 	return g
 }
@@ -311,11 +311,19 @@
 			duringDial(u, func() { g.leaseEnded.Store(true) })
 		}, logic.NotSent}, // says nothing about the endpoint
 		{"idempotency key may be forgotten while the leg dials", 100, func(u *upstream, g *leg) {
-			g.latestStart = time.Now().Add(time.Millisecond)
-			duringDial(u, func() { time.Sleep(time.Until(g.latestStart) + time.Millisecond) })
+			g.exchange = &exchange{gate: commitGate{dropsRepeats: true, repeatWindow: time.Millisecond, earlierRun: time.Now()}}
+			duringDial(u, func() { time.Sleep(2 * time.Millisecond) })
 		}, logic.NoConnection},
-		{"exchange ends while the leg dials", 100, func(u *upstream, g *leg) { duringDial(u, g.preventStart) }, logic.Cancelled},
-		{"exchange ended before the leg dialled", 100, func(u *upstream, g *leg) { g.preventStart() }, logic.Cancelled},
+		{"exchange ends while the leg dials", 100, func(u *upstream, g *leg) {
+			g.exchange = &exchange{}
+			g.gate().add(g)
+			duringDial(u, g.gate().close)
+		}, logic.Cancelled},
+		{"exchange ended before the leg dialled", 100, func(u *upstream, g *leg) {
+			g.exchange = &exchange{}
+			g.gate().close()
+			g.gate().add(g)
+		}, logic.Cancelled},
 		{"client leaves while the leg dials", 100, func(u *upstream, g *leg) {
 			g.exchange = &exchange{}
 			duringDial(u, func() { g.exchange.clientGone.Store(true) })
