A request that was given up is not left to the kernel to deliver

What callers saw: a request ran after its final answer (504, or that at SIGTERM), after its client had left, or a second time after the key was forgotten, also where attempts may be cancelled, if its endpoint read nothing for a while.

Cause: a byte that was written is not sent. The kernel takes up to a send buffer (100 kB and more) of a request whose endpoint has no room. The checks before the last byte then passed at once, with all others still in this machine; and an ordinary close leaves what is queued to the kernel, which delivers it for as long as the endpoint's machine answers.

Ruled out: a late cancel (the connection was closed in time, the endpoint read on from it), a missing check (the write returned before the check).

Change: the last byte waits until the kernel has sent the others (SIOCOUTQNSD), which says that the endpoint's machine had room for them, and only then come the checks and the commit. A connection with bytes that were not acknowledged (SIOCOUTQ) is closed with a reset, so that they are dropped. At the end of the repeat window and of the exchange an attempt is taken back as well if its last byte has not left this machine, or was sent and is without acknowledgement for longer than a kernel delays one (250 ms): it would be sent again.

What can't be taken back: bytes that the endpoint's kernel holds and its program has not read.

--- a/internal/sidecar/commit.go
+++ b/internal/sidecar/commit.go
@@ -19,6 +19,9 @@
 	// repeatWindowShare is the part of the time for which endpoints recognise a repeat in which attempts are committed. The
 	// rest is left for the last byte's way.
 	repeatWindowShare = 0.95
+	// maxAcknowledgementDelay is how long a kernel may take to acknowledge data that has arrived. Data without an
+	// acknowledgement for longer was lost on its way, and is sent again for as long as its connection is open.
+	maxAcknowledgementDelay = 250 * time.Millisecond
 )
 
 // commitGate decides which attempts of one exchange are committed. The zero value commits each, until it is closed. Its
@@ -76,9 +79,9 @@
 	return nil
 }
 
-// commit commits an attempt, whose last byte must be written at once. It returns why the attempt may not be
+// commit commits an attempt, whose last byte must be written to the connection at once. It returns why the attempt may not be
 // committed, if so.
-func (c *commitGate) commit(g *leg) error {
+func (c *commitGate) commit(g *leg, conn *endpointConn) error {
 	if c == nil {
 		return nil
 	}
@@ -91,7 +94,7 @@
 	if err := c.checkAt(now); err != nil {
 		return err
 	}
-	g.committedAt = now
+	g.committedAt, g.committedOn = now, conn
 	c.scheduleExpiry()
 	return nil
 }
@@ -109,13 +112,14 @@
 	}
 }
 
-// close is called when the exchange has its answer or its client has left: nothing is committed any more.
+// close is called when the exchange has its answer or its client has left: nothing is committed any more, and what can still
+// be held back is.
 func (c *commitGate) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
 	for _, g := range c.running {
-		if g.committedAt.IsZero() {
+		if g.committedAt.IsZero() || g.deliveryOfLastByte() <= lost {
 			g.cancelCause(errExchangeOver)
 		}
 	}
@@ -140,10 +144,14 @@
 	if !bounded || c.attempts < 2 || len(c.running) == 0 {
 		return
 	}
+	c.expireAfter(time.Until(end))
+}
+
+func (c *commitGate) expireAfter(wait time.Duration) {
 	if c.expiry == nil {
-		c.expiry = time.AfterFunc(time.Until(end), c.expire)
+		c.expiry = time.AfterFunc(wait, c.expire)
 	} else {
-		c.expiry.Reset(time.Until(end))
+		c.expiry.Reset(wait)
 	}
 }
 
@@ -158,8 +166,11 @@
 		return
 	}
 	for _, g := range c.running {
-		if g.committedAt.IsZero() {
+		switch {
+		case g.committedAt.IsZero() || g.deliveryOfLastByte() <= lost:
 			g.cancelCause(errRepeatWindowOver)
+		case g.deliveryOfLastByte() == unacknowledged:
+			c.expireAfter(maxAcknowledgementDelay)
 		}
 	}
 }
@@ -172,6 +183,30 @@
 	return a
 }
 
+// delivery is how far the last byte of a committed attempt has come, as far as the kernel knows.
+type delivery int
+
+const (
+	unsent         delivery = iota // it has not left this machine: its endpoint has no room for it
+	lost                           // it was sent, and should have been acknowledged by now; it will be sent again
+	unacknowledged                 // it was sent a moment ago
+	delivered
+)
+
+// deliveryOfLastByte asks the kernel about a committed attempt.
+func (g *leg) deliveryOfLastByte() delivery {
+	queued, inFlight := g.committedOn.sendQueue()
+	switch {
+	case queued > 0:
+		return unsent
+	case inFlight == 0:
+		return delivered
+	case time.Since(g.committedAt) > maxAcknowledgementDelay:
+		return lost
+	}
+	return unacknowledged
+}
+
 // withRepeatWindowOver returns the error of a leg; one that was given up at the end of the repeat window has failed by its
 // endpoint, not by a cancel.
 func (g *leg) withRepeatWindowOver(fault *legError) *legError {
--- a/internal/sidecar/commit_test.go
+++ b/internal/sidecar/commit_test.go
@@ -24,8 +24,11 @@
 	failedResponse     = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
 	notStartedResponse = "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
 
-	// heldBody is the length of a request that a sidecar with 192 MB holds in memory.
-	heldBody = 700_000
+	// heldBody and streamedBody are lengths of requests that a sidecar with 192 MB holds in memory and passes on while they arrive.
+	heldBody     = 700_000
+	streamedBody = 900_000
+	// sendBufferBody is the length of a request that the kernel takes whole although the endpoint does not read it.
+	sendBufferBody = 120_000
 )
 
 // attemptPlan is what an endpoint does with one attempt.
@@ -216,7 +219,7 @@
 		{"first connects late, hedge fails", long, []attemptPlan{failed}, pause, true, 200, 2},
 		{"hedge never started, first pauses", short, []attemptPlan{{pause: pause}, {answer: notStartedResponse}}, 0, true, 200, 1},
 	} {
-		for _, size := range []int{heldBody} {
+		for _, size := range []int{sendBufferBody, heldBody} {
 			for _, mayCancel := range []bool{true, false} {
 				t.Run(fmt.Sprint(c.name, " ", size, " cancel ", mayCancel), func(t *testing.T) {
 					t.Parallel()
@@ -258,3 +261,68 @@
 	for r.loop.upstream.closeOneIdle() {
 	}
 }
+
+// Guards against a request that runs after its final answer, or when its client has left: its last byte had been left to the
+// kernel, which delivers it when the endpoint reads on, or was written then.
+func TestNothingIsWholeAfterTheFinalAnswer(t *testing.T) {
+	const (
+		pause         = 2500 * time.Millisecond
+		timeout       = 900 * time.Millisecond
+		tinyBuffer    = 2 << 10
+		shortBody     = 12_000
+		usualBuffer   = 32 << 10
+		leavesAfter   = 200 * time.Millisecond
+		signalAfter   = 100 * time.Millisecond
+		answerGrace   = 500 * time.Millisecond
+		timeAfterTERM = longestDeadline + killMargin
+	)
+	for _, c := range []struct {
+		name                string
+		size, receiveBuffer int
+	}{
+		{"short, an endpoint with hardly any room", shortBody, tinyBuffer},
+		{"in the send buffer", sendBufferBody, usualBuffer},
+		{"held", heldBody, usualBuffer},
+		{"streamed", streamedBody, usualBuffer},
+	} {
+		for _, end := range []string{"time is over", "client leaves", "SIGTERM"} {
+			for _, mayCancel := range []bool{true, false} {
+				t.Run(fmt.Sprint(c.name, " ", end, " cancel ", mayCancel), func(t *testing.T) {
+					t.Parallel()
+					group := &keyGroup{plans: []attemptPlan{{pause: pause}}}
+					r := startSidecar(t, listOf(group.newEndpoint(t, c.receiveBuffer)), func(s *Config) {
+						s.terms.MayCancel = mayCancel
+						for n := range s.terms.Products {
+							s.terms.Products[n].Abandon, s.terms.Products[n].Expected = 1000, 900
+						}
+					})
+					conn := r.dial()
+					_, err := io.WriteString(conn, withTimeout(requestText("1", "POST", "buy", fmt.Sprintf("Content-Length: %d\r\n", c.size)), timeout)+strings.Repeat("x", c.size))
+					require.NoError(t, err)
+					sentAt := time.Now()
+					eventually(t, "the attempt has begun", func() bool { return !group.idle() })
+					answerBy := sentAt.Add(timeout + answerGrace)
+					switch end {
+					case "client leaves":
+						time.Sleep(leavesAfter)
+						conn.Close()
+					case "SIGTERM":
+						time.Sleep(signalAfter)
+						r.stop()
+						answerBy = time.Now().Add(timeAfterTERM)
+					}
+					if end != "client leaves" {
+						got, text := exchangeOn(conn, "")
+						require.NotNil(t, got, text)
+						assert.GreaterOrEqual(t, got.StatusCode, 500)
+						assert.Less(t, time.Now(), answerBy)
+					}
+					eventually(t, "the endpoint has done with it", group.idle)
+					group.mu.Lock()
+					defer group.mu.Unlock()
+					assert.Empty(t, group.whole, "attempts that came whole")
+				})
+			}
+		}
+	}
+}
--- a/internal/sidecar/endpoint_conn.go
+++ b/internal/sidecar/endpoint_conn.go
@@ -25,6 +25,7 @@
 	maxInformationalAnswers = 5                               // 1xx answers before the final one
 	shortAnswerBytes        = 4 << 10                         // an answer up to this length is part of what its connection holds
 	answerBufferBytes       = 8 << 10                         // read buffer; an answer whose head does not fit is malformed
+	sendPollInterval        = time.Millisecond                // between two looks whether all has been sent
 	// defaultStallTimeout bounds the time between two parts of an answer if the settings have no connect timeout.
 	defaultStallTimeout = 250 * time.Millisecond
 )
@@ -142,6 +143,30 @@
 	}
 }
 
+// awaitSent returns once all that was written to the connection has been sent, or the error of check.
+func (k *endpointConn) awaitSent(check func(*endpointConn) error) error {
+	for {
+		if err := check(k); err != nil {
+			return err
+		}
+		if unsent, _ := k.sendQueue(); unsent == 0 {
+			return nil
+		}
+		time.Sleep(sendPollInterval)
+	}
+}
+
+// close closes the connection. What its peer's kernel has not acknowledged is not sent any more: the kernel here would go on
+// with it after an ordinary close, and the endpoint would run a request that was given up.
+func (k *endpointConn) close() {
+	if _, unacknowledged := k.sendQueue(); unacknowledged > 0 {
+		if conn, ok := k.conn.(interface{ SetLinger(int) error }); ok {
+			conn.SetLinger(0)
+		}
+	}
+	k.conn.Close()
+}
+
 // isQuiet reports whether nothing was received on an idle connection: neither its end nor unexpected bytes.
 func (k *endpointConn) isQuiet() bool {
 	s, ok := k.conn.(syscall.Conn)
--- a/internal/sidecar/kernel.go
+++ b/internal/sidecar/kernel.go
@@ -132,6 +132,24 @@
 	return err == nil && reset
 }
 
+// sendQueue returns how many of the bytes that were written to a connection have not been sent, and how many its peer's kernel
+// has not acknowledged, the former among them; 0 if unknown. Bytes remain unsent for as long as the peer has no room for them.
+func (k *endpointConn) sendQueue() (unsent, unacknowledged int) {
+	s, ok := k.conn.(syscall.Conn)
+	if !ok {
+		return 0, 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, 0
+	}
+	raw.Control(func(fd uintptr) {
+		unsent, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD)
+		unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return unsent, unacknowledged
+}
+
 // unreadBytes returns how many bytes wait unread; 0 if unknown.
 func (c *clientConn) unreadBytes() int64 {
 	if c == nil || c.raw == nil {
--- a/internal/sidecar/leg.go
+++ b/internal/sidecar/leg.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -20,16 +21,17 @@
 	deadline      time.Time
 	ctx           context.Context
 	cancelCause   context.CancelCauseFunc
-	reported      bool         // its outcome was passed to the module
-	uploading     atomic.Bool  // a streamed request whose last byte is not written to the endpoint yet
-	forwardFrom   time.Time    // an answer of unknown length is forwarded from then on
-	neverRan      bool         // the request is known not to have run
-	exchange      *exchange    // nil for a probe
-	upload        *upload      // of a streamed request; nil until it begins
-	committedAt   time.Time    // guarded by the exchange's gate; zero for not yet
-	leaseEnded    *atomic.Bool // set while the lease on the list is over; nil for no lease
-	localityBound bool         // the product may be sent to certain zones and kinds of machine only
-	locality      [2]string    // zone and kind of the endpoint when it was chosen
+	reported      bool          // its outcome was passed to the module
+	uploading     atomic.Bool   // a streamed request whose last byte is not written to the endpoint yet
+	forwardFrom   time.Time     // an answer of unknown length is forwarded from then on
+	neverRan      bool          // the request is known not to have run
+	exchange      *exchange     // nil for a probe
+	upload        *upload       // of a streamed request; nil until it begins
+	committedAt   time.Time     // guarded by the exchange's gate; zero for not yet
+	committedOn   *endpointConn // guarded by the exchange's gate
+	leaseEnded    *atomic.Bool  // set while the lease on the list is over; nil for no lease
+	localityBound bool          // the product may be sent to certain zones and kinds of machine only
+	locality      [2]string     // zone and kind of the endpoint when it was chosen
 
 	claim              func() bool  // claims the request for this process; nil if there can be no other
 	onAnswerStart      func(*reply) // called when the answer is to be forwarded
@@ -125,6 +127,20 @@
 	return g.gate().check()
 }
 
+// checkQuiet reports why it makes no sense any more to wait until all but the last byte of a request has been sent: an endpoint
+// that answers before the last byte has not read the whole request.
+func (g *leg) checkQuiet(k *endpointConn) error {
+	switch {
+	case g.ctx.Err() != nil:
+		return g.cancelled()
+	case !time.Now().Before(g.deadline):
+		return os.ErrDeadlineExceeded
+	case !k.isQuiet():
+		return errEarlyAnswer
+	}
+	return nil
+}
+
 // reservation returns the memory of the leg's exchange; nil for a probe.
 func (g *leg) reservation() *reservation {
 	if g.exchange == nil {
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -159,10 +159,13 @@
 	if err != nil {
 		return writing, err
 	}
+	if err := s.conn.awaitSent(func(*endpointConn) error { return s.ctx.Err() }); err != nil {
+		return writing, err
+	}
 	if err := g.checkRequired(); err != nil { // all of the request is read, so that its client's close can be seen
 		return writing, err
 	}
-	if err := g.gate().commit(g); err != nil {
+	if err := g.gate().commit(g, s.conn); err != nil {
 		return writing, err
 	}
 	if _, err := conn.Write(lastBytes); err != nil {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -190,7 +190,7 @@
 func (u *upstream) closeConns(conns ...*endpointConn) {
 	for _, k := range conns {
 		k.setIdle(false)
-		k.conn.Close()
+		k.close()
 		u.sockets.releaseUpstream()
 	}
 }
@@ -363,22 +363,22 @@
 }
 
 // writeRequest writes a request that is held in memory: its head in two parts and its body. The last byte of a long one is
-// held back until nothing speaks against it any more.
+// held back until all others have been sent and nothing speaks against it any more.
 func (g *leg) writeRequest(k *endpointConn, parts net.Buffers) *legError {
 	if n := len(g.request.body); n > copyChunkBytes {
 		allButLast := net.Buffers{parts[0], parts[1], g.request.body[:n-1]}
 		if _, err := allButLast.WriteTo(k.conn); err != nil {
 			return newLegError(writing, err, g.ctx.Err() != nil)
 		}
-		if !k.isQuiet() { // an endpoint that answers before the last byte has not read the whole request
-			return newLegError(writing, errEarlyAnswer, false)
+		if err := k.awaitSent(g.checkQuiet); err != nil {
+			return newLegError(writing, err, g.ctx.Err() != nil)
 		}
 		if fault := withheld(g.checkRequired()); fault != nil {
 			return fault
 		}
 		parts = net.Buffers{g.request.body[n-1:]}
 	}
-	if fault := withheld(g.gate().commit(g)); fault != nil {
+	if fault := withheld(g.gate().commit(g, k)); fault != nil {
 		return fault
 	}
 	if _, err := parts.WriteTo(k.conn); err != nil {
