Test of slow dials: the listener is blocked between two requests, not in one

Cause, by a trace of the listener's and the load's times (1 of 120 plays, six at once): a request of the load, which comes each 50 ms, reached the endpoint 0.5 ms before the block. Its connection was held by the blocked Accept for 0.85 s, its answer came then, and as the endpoint's concurrency limit was used up by it the sidecar dialled nothing there meanwhile: no dial could be late. Ruled out: a busy machine (longest stall of the test process 4 ms), a sidecar that does not dial late (it had nothing to dial).

Change: the block begins a quarter of an interval after an answer. The condition and all bounds are as before.

--- a/cmd/lynxjunction/drain_told_test.go
+++ b/cmd/lynxjunction/drain_told_test.go
@@ -22,7 +22,8 @@
 	mu              sync.Mutex
 	blocked         chan struct{} // closed when the listener is unblocked; nil while it is not blocked
 	unblockedAt     time.Time
-	lateConnections int // connections, other than those that fill the queue, that were established after it was unblocked
+	answered        chan struct{} // receives after each answer
+	lateConnections int           // connections, other than those that fill the queue, that were established after it was unblocked
 }
 
 // unblockSettleTime is the time after unblocking in which connections are still dropped: they were established before,
@@ -56,8 +57,23 @@
 	}
 }
 
+// awaitPause returns between two requests of the load. A request on its way would be held up by a block, and the sidecar would
+// send none to the endpoint beside it.
+func (d *slowListener) awaitPause() {
+	select {
+	case <-d.answered: // one of before
+	default:
+	}
+	select {
+	case <-d.answered:
+	case <-time.After(2 * leaseRequestInterval):
+	}
+	time.Sleep(leaseRequestInterval / 4)
+}
+
 // block blocks the listener and fills its accept queue, so that further connections wait.
 func (d *slowListener) block(t *testing.T) {
+	d.awaitPause()
 	const fill = 3 // one held by Accept, one in the queue, and one more
 	d.mu.Lock()
 	d.blocked = make(chan struct{})
@@ -92,10 +108,14 @@
 		require.NoError(t, err)
 		require.NoError(t, raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }))
 		require.NoError(t, err)
-		listener := &slowListener{Listener: ln}
+		listener := &slowListener{Listener: ln, answered: make(chan struct{}, 1)}
 		server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 			rw.Header().Set("Connection", "close") // every request needs a new connection
 			s.trial.serveDrainingEndpoint(rw, r)
+			select {
+			case listener.answered <- struct{}{}:
+			default:
+			}
 		})}
 		go server.Serve(listener)
 		s.trial.Cleanup(func() { server.Close() })
