A keyed request stays in the zone or cell where it ran, also when the list moves its endpoint

What callers would see: an effect twice. Where endpoints of one zone or cell drop repeats, a repeat went to the zone to which the list had moved the first attempt's endpoint meanwhile, or an attempt was sent to an endpoint that had moved after it was chosen.

Cause: the module compared the repeat's endpoint with the present zone and cell of the first one (leg.to.zone), not with those at the time of the leg. And checkStart looked at zone and kind for bound products only, at the cell never.

Change: a leg of the module remembers zone and cell; the sidecar holds back a keyed request whose endpoint has moved, before its first and before its last byte.

--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -965,28 +965,49 @@
 	}
 }
 
-// The list moves an endpoint to another zone or kind while a leg of a bound product dials it: the leg must not be sent.
+// The list moves an endpoint to another zone, cell or kind while a leg dials it whose product is bound to these, or of which
+// endpoints drop repeats in one of these only: the leg must not be sent.
 func TestEndpointMovesZoneWhileALegDials(t *testing.T) {
-	for _, c := range []struct{ name, zone, kind string }{{"zone", "b", "k"}, {"kind", "a", "l"}} {
+	const keyed = "Idempotency-Key: k\r\nContent-Length: 0\r\n"
+	for _, c := range []struct {
+		name, zone, kind string
+		cell             logic.CellID
+		product, header  string
+		group            logic.Group
+	}{
+		{"zone", "b", "k", 1, "buy", "Content-Length: 0\r\n", logic.AllEndpoints},
+		{"kind", "a", "l", 1, "buy", "Content-Length: 0\r\n", logic.AllEndpoints},
+		{"zone, repeats are dropped in one zone", "b", "k", 1, "save", keyed, logic.OneZone},
+		{"cell, repeats are dropped in one cell", "a", "k", 2, "save", keyed, logic.OneCell},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			s := newStubEndpoint(t, respondWith(okResponse, true))
 			at := s.Addr().String()
-			r := startSidecar(t, listText(1, true, placedEntryText("s0", at, "a", "k", "in_service")), withBoundBuy)
+			r := startSidecar(t, listText(1, true, placedEntryText("s0", at, "a", "k", "in_service")), func(s *Config) {
+				withBoundBuy(s)
+				s.terms.Products[2].Group = c.group
+			})
 			dialled, resume := r.holdDial(1)
 			answer := make(chan int, 1)
-			go func() { answer <- r.status(requestText("1", "POST", "buy", "Content-Length: 0\r\n")) }()
+			go func() { answer <- r.status(requestText("1", "POST", c.product, c.header)) }()
 			<-dialled
 			r.loop.postUrgent(listReceived{endpointList: endpointList{version: 2, servers: []listEntry{{id: "s0", addr: at, zone: c.zone, kind: c.kind,
-				cell: 1, running: true, weight: 1}}}, fromDisk: true})
+				cell: c.cell, running: true, weight: 1}}}, fromDisk: true})
 			eventually(t, "the move is handled", func() bool {
-				there := make(chan [2]string)
+				there := make(chan locality)
 				r.loop.post(loopFunc(func(l *loop) { there <- l.upstream.find("s0").currentLocality() }))
-				return <-there == [2]string{c.zone, c.kind}
+				return <-there == locality{c.zone, c.kind, c.cell}
 			})
 			resume()
-			assert.Equal(t, 503, <-answer)
-			assert.Zero(t, s.requests.Load())
+			if c.product == "buy" {
+				assert.Equal(t, 503, <-answer)
+				assert.Zero(t, s.requests.Load())
+			} else {
+				assert.Equal(t, 200, <-answer, "by a leg that knows where the endpoint is")
+				assert.EqualValues(t, 1, s.requests.Load())
+				assert.EqualValues(t, 1, r.server.counters.legsByOutcome[logic.NoConnection].Load(), "legs that were not sent")
+			}
 		})
 	}
 }
--- a/internal/sidecar/leg.go
+++ b/internal/sidecar/leg.go
@@ -30,8 +30,8 @@
 	committedAt   time.Time     // guarded by the exchange's gate; zero for not yet
 	committedOn   *endpointConn // guarded by the exchange's gate
 	leaseEnded    *atomic.Bool  // set while the lease on the list is over; nil for no lease
-	localityBound bool          // the product may be sent to certain zones and kinds of machine only
-	locality      [2]string     // zone and kind of the endpoint when it was chosen
+	localityBound bool          // the request may not be sent if the endpoint has moved
+	locality      locality      // of the endpoint when it was chosen
 
 	claim              func() bool  // claims the request for this process; nil if there can be no other
 	onAnswerStart      func(*reply) // called when the answer is to be forwarded
@@ -71,7 +71,7 @@
 	errRepeatWindowOver    = errors.New("endpoints may have forgotten the idempotency key before the request's last byte was sent")
 	errLegCancelled        = errors.New("leg cancelled before the request's last byte was sent")
 	errExchangeOver        = errors.New("exchange ended before the request's last byte was sent")
-	errLocalityChanged     = errors.New("endpoint changed its zone or kind before the request's last byte was sent")
+	errLocalityChanged     = errors.New("endpoint changed its zone, cell or kind before the request's last byte was sent")
 	errClientGone          = errors.New("client disconnected before the request's last byte was sent")
 	errLeaseEnded          = errors.New("lease on the list of endpoints ended before the first byte was sent")
 )
--- a/internal/sidecar/list_events.go
+++ b/internal/sidecar/list_events.go
@@ -144,7 +144,7 @@
 			l.upstream.dropIdle(id) // they lead to the process that has gone
 		}
 		l.upstream.applyListed(id, entry.addr, health == logic.Running)
-		l.upstream.setLocality(id, entry.zone, entry.kind)
+		l.upstream.setLocality(id, locality{entry.zone, entry.kind, entry.cell})
 		l.list.recordEntry(id, entry)
 		l.operatorDrains.RecordListed(entry.id)
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -633,7 +633,7 @@
 	return &l.products[x.product]
 }
 
-// setLegBounds sets what a leg has to keep to by its exchange's product: whether its endpoint's placement matters, and the time
+// setLegBounds sets what a leg has to keep to by its exchange's product: whether its endpoint's locality matters, and the time
 // from which an answer of unknown length is passed on while it arrives.
 func (l *loop) setLegBounds(x *exchange, g *leg) {
 	g.forwardFrom = time.Now().Add(time.Until(g.deadline) / 2)
@@ -641,7 +641,8 @@
 	if p == nil {
 		return
 	}
-	g.localityBound = p.Bound()
+	// Endpoints outside one zone or cell may know nothing of a request that ran there.
+	g.localityBound = p.Bound() || p.Effect == logic.Deduplicated && p.Group != logic.AllEndpoints
 	if p.Expected > 0 {
 		g.forwardFrom = time.Now().Add(toDuration(p.Expected * streamAfterShare))
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -34,13 +34,20 @@
 	remaining *streamedRequest // the part after body of a long request; nil if body is all
 }
 
+// locality is where an endpoint runs, by the list.
+type locality struct {
+	zone string
+	kind string // of machine
+	cell logic.CellID
+}
+
 // endpoint is the address of one server and the idle connections to it.
 type endpoint struct {
 	unavailable atomic.Bool // draining, gone or drained by an operator: no first byte is written to it
 	mu          sync.Mutex
 	inService   bool // by the list
 	addr        string
-	locality    [2]string       // zone and kind, by the list
+	locality    locality        // by the list
 	idle        []*endpointConn // ordered by last use, the most recent one last
 }
 
@@ -54,7 +61,7 @@
 	return e.addr == addr
 }
 
-func (e *endpoint) currentLocality() [2]string {
+func (e *endpoint) currentLocality() locality {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.locality
@@ -107,11 +114,11 @@
 	u.applyState(e, addr, inService, drained)
 }
 
-// setLocality sets an endpoint's zone and kind, which may change while it is in service.
-func (u *upstream) setLocality(id logic.EndpointID, zone, kind string) {
+// setLocality sets an endpoint's locality, which may change while it is in service.
+func (u *upstream) setLocality(id logic.EndpointID, at locality) {
 	if e := u.find(id); e != nil {
 		e.mu.Lock()
-		e.locality = [2]string{zone, kind}
+		e.locality = at
 		e.mu.Unlock()
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -627,7 +627,7 @@
 			b.setExchangeTimer(x, max(x.deadline-b.now-b.timerTolerance, 1), timeExpired)
 		}
 	}
-	x.legs = append(x.legs, leg{to: e, sentAt: b.now, work: x.work, transferOnly: true})
+	x.legs = append(x.legs, leg{to: e, zone: e.zone, cell: e.cell, sentAt: b.now, work: x.work, transferOnly: true})
 	l := &x.legs[len(x.legs)-1]
 	x.legsInFlight, b.legsSent, x.next = x.legsInFlight+1, b.legsSent+1, stepRunning
 	b.setTransferOnly(l, x.incomplete)
@@ -795,7 +795,7 @@
 		}
 		if x.product.Effect == Deduplicated {
 			g := x.product.Group
-			if g == OneZone && l.to.zone != e.zone || g == OneCell && l.to.cell != e.cell ||
+			if g == OneZone && l.zone != e.zone || g == OneCell && l.cell != e.cell ||
 				first && b.now-l.sentAt > x.product.DedupMemory*dedupMemoryShare {
 				return false
 			}
--- a/logic/placement_test.go
+++ b/logic/placement_test.go
@@ -165,3 +165,46 @@
 	assert.Contains(t, "aceg", string(to))
 	assert.NotEmpty(t, to)
 }
+
+// Guards against an effect that comes twice: after a leg that may have run the list moves its endpoint to another zone and cell.
+// The endpoints there know nothing of the repeat's key, those of the old ones do.
+func TestRepeatStaysWhereItsFirstLegRanWhenTheEndpointMoves(t *testing.T) {
+	repeats := 0
+	for _, group := range []Group{OneZone, OneCell} {
+		for _, movesZone := range []bool{true, false} {
+			if group == OneZone && !movesZone {
+				continue
+			}
+			for seed := range uint64(20) {
+				b, r := newPlacementBalancer(func(terms *Terms) {
+					terms.Seed = seed
+					terms.Products[5].Effect, terms.Products[5].Group, terms.Products[5].DedupMemory = Deduplicated, group, 3000
+				})
+				first := arrive(b, r, "x", 5)
+				e := b.byID[first]
+				zone, cell := e.zone, e.cell
+				to := zone
+				if movesZone {
+					to = 1 - zone
+				}
+				b.Listed(first, Running, to, e.kind, 1-cell, 1, 0)
+				b.ListEnds(false)
+				r.take()
+				b.SetNow(b.now + 10)
+				b.LegEnded("x", 0, Errored, 10, false)
+				repeat := sentTo(r)
+				if repeat == "" {
+					continue // no endpoint is left in the group that has capacity
+				}
+				repeats++
+				assert.NotEqual(t, first, repeat, "%v: the endpoint that has moved away", group)
+				if group == OneZone {
+					assert.Equal(t, zone, b.byID[repeat].zone)
+				} else {
+					assert.Equal(t, cell, b.byID[repeat].cell)
+				}
+			}
+		}
+	}
+	assert.Greater(t, repeats, 30)
+}
--- a/logic/slab.go
+++ b/logic/slab.go
@@ -13,6 +13,8 @@
 // leg is one attempt at an endpoint.
 type leg struct {
 	to           *endpoint
+	zone         ZoneID  // of the endpoint when the leg was sent; the list may move it
+	cell         CellID  // the same
 	sentAt       Millis  // or when the last byte of the request was written, if that was later
 	work         float64 // in units of the mean leg's
 	workAhead    float64 // work that was at the endpoint when it was sent, with its own
