--- a/internal/adverse/endpoint.go
+++ b/internal/adverse/endpoint.go
@@ -33,6 +33,7 @@
 	Pauses     []time.Duration // after the answer's head, and after each further piece of pieceBytes
 	ReadLimit  int             // bytes of the request's body after which reading stops for good; 0 for none
 	ReadRate   int             // bytes of the request's body read in a second; 0 for as fast as they come
+	Attempts   []Attempt       // what is done with the first attempts, in place of the above
 }
 
 // pieceBytes is the size of the pieces of an answer with pauses.
@@ -44,8 +45,8 @@
 	for n, pause := range s.Pauses {
 		pauses[n] = strconv.FormatInt(pause.Milliseconds(), 10)
 	}
-	return fmt.Sprintf("work=%d&size=%d&framing=%s&pauses=%s&limit=%d&rate=%d", s.Work.Milliseconds(), s.AnswerSize, s.Framing,
-		strings.Join(pauses, "."), s.ReadLimit, s.ReadRate)
+	return fmt.Sprintf("work=%d&size=%d&framing=%s&pauses=%s&limit=%d&rate=%d&attempts=%s", s.Work.Milliseconds(), s.AnswerSize, s.Framing,
+		strings.Join(pauses, "."), s.ReadLimit, s.ReadRate, encodeAttempts(s.Attempts))
 }
 
 // parseScript decodes the script of a request.
@@ -62,19 +63,30 @@
 			s.Pauses = append(s.Pauses, time.Duration(ms)*time.Millisecond)
 		}
 	}
+	s.Attempts = parseAttempts(values.Get("attempts"))
 	return s
 }
 
 // Run is one request that an endpoint received whole.
 type Run struct {
-	Endpoint string // id of the endpoint
-	At       time.Time
+	Endpoint string    // id of the endpoint
+	At       time.Time // when its last byte came, by the kernel
 }
 
-// runLog holds the runs of all endpoints by the request's id.
+// runLog holds the runs of all endpoints and the number of attempts, by the request's id.
 type runLog struct {
-	mu   sync.Mutex
-	runs map[string][]Run
+	mu       sync.Mutex
+	runs     map[string][]Run
+	attempts map[string]int
+}
+
+// begin counts an attempt whose head has come, and returns how many came before.
+func (l *runLog) begin(request string) (earlier int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	earlier = l.attempts[request]
+	l.attempts[request]++
+	return earlier
 }
 
 func (l *runLog) add(request string, r Run) {
@@ -147,11 +159,14 @@
 // serveRequest carries out a request's script and reports whether the connection can be used again.
 func (e *Endpoint) serveRequest(conn *net.TCPConn, r *http.Request) bool {
 	s := parseScript(r)
+	id := r.Header.Get("Request-Id")
+	if earlier := e.log.begin(id); earlier < len(s.Attempts) {
+		return e.serveAttempt(conn, r, s.Attempts[earlier])
+	}
 	if !readBody(conn, r.Body, s) {
 		return false
 	}
-	id := r.Header.Get("Request-Id")
-	e.log.add(id, Run{Endpoint: e.ID, At: time.Now()})
+	e.log.add(id, Run{Endpoint: e.ID, At: lastDataAt(conn)})
 	time.Sleep(s.Work)
 	return writeAnswer(conn, answerBody(id, s.AnswerSize), s) == nil && s.Framing != ByClose
 }
--- a/internal/adverse/kernel.go
+++ b/internal/adverse/kernel.go
@@ -8,8 +8,29 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// lastDataAt returns when the last data of a connection came, by the kernel: a reader that is held up does not change it.
+func lastDataAt(conn net.Conn) time.Time {
+	now := time.Now()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return now
+	}
+	var info *unix.TCPInfo
+	raw.Control(func(fd uintptr) {
+		now = time.Now()
+		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if info == nil {
+		return now
+	}
+	return now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+}
+
 // peerClosed reports whether the peer of a connection has reset it, or has closed it and all that it sent was read.
 func peerClosed(conn net.Conn) (closed bool) {
 	raw, err := conn.(syscall.Conn).SyscallConn()
--- a/internal/adverse/sidecar.go
+++ b/internal/adverse/sidecar.go
@@ -1,6 +1,7 @@
 package adverse
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,6 +20,16 @@
 	MemoryMB, Sockets int
 }
 
+// Settings are the settings that differ from world to world. The zero value is the usual deployment.
+type Settings struct {
+	NoCancel       bool
+	NoSecondCopies bool
+	KeyMemory      time.Duration // for which repeats of KeyedClass are dropped; 0 for usualKeyMemory
+	KeyScope       string        // of endpoints that drop them; "" for all
+}
+
+const usualKeyMemory = 10 * time.Second
+
 // The classes of the deployment: one for each effect of a repeat, and one that may run in a single zone only.
 const (
 	SafeClass   = "view-gallery"
@@ -40,14 +51,17 @@
 	log       *runLog
 	config    string
 	limits    Limits
+	settings  Settings
 
 	mu        sync.Mutex
 	processes []*Process
 }
 
 // NewWorld starts discovery and endpoints, and writes the start file of a sidecar into dir.
-func NewWorld(program, dir string, endpoints int, limits Limits) (*World, error) {
-	w := &World{Program: program, dir: dir, limits: limits, Listen: freeAddr(), log: &runLog{runs: map[string][]Run{}}}
+func NewWorld(program, dir string, endpoints int, limits Limits, settings Settings) (*World, error) {
+	settings.KeyMemory, settings.KeyScope = cmp.Or(settings.KeyMemory, usualKeyMemory), cmp.Or(settings.KeyScope, "all")
+	w := &World{Program: program, dir: dir, limits: limits, settings: settings, Listen: freeAddr(),
+		log: &runLog{runs: map[string][]Run{}, attempts: map[string]int{}}}
 	var entries []Listing
 	for n := range endpoints {
 		e, err := newEndpoint(fmt.Sprintf("s-%d", n), "127.0.0.1:0", w.log)
@@ -79,13 +93,13 @@
 func (w *World) writeStartFile(entries []Listing) error {
 	class := func(name, effect string, expectedMs float64) map[string]any {
 		return map[string]any{"name": name, "effect": effect, "expected-time": expectedMs, "abandon-time": 2000.0, "value": 1.0, "overdue-value": 0.25,
-			"dedup-scope": "all", "key-ttl": 10000.0, "streaming": false}
+			"dedup-scope": w.settings.KeyScope, "key-ttl": float64(w.settings.KeyMemory.Milliseconds()), "streaming": false}
 	}
 	zoned := class(ZonedClass, "retryable", 500)
 	zoned["runs-in"] = []string{homeZone}
 	settings := map[string]any{
-		"allowed": map[string]any{"connect-timeout": 250.0, "idle-close": 15000.0, "max-legs": 4, "max-retry-after": 2000.0, "may-cancel": true,
-			"multiplex": 1, "peers": false, "probes": true, "retry-after": true, "second-copies": true},
+		"allowed": map[string]any{"connect-timeout": 250.0, "idle-close": 15000.0, "max-legs": 4, "max-retry-after": 2000.0, "may-cancel": !w.settings.NoCancel,
+			"multiplex": 1, "peers": false, "probes": true, "retry-after": true, "second-copies": !w.settings.NoSecondCopies},
 		"fleet-size": 3, "family": "mesh", "layer": 0, "locality": homeZone, "me": 0, "registry-mode": "on_request", "tick": 5.0,
 		"guarantees": map[string]any{"ask-within": 10000.0, "cold": 24000.0, "cold-from": 0.12, "drain-grace": 500.0, "fall": 1000.0,
 			"fall-multiple": 3.0, "grace-to-answer": 20.0},
--- a/internal/adverse/world_test.go
+++ b/internal/adverse/world_test.go
@@ -46,8 +46,11 @@
 }
 
 // startWorld starts a sidecar with four endpoints.
-func startWorld(t *testing.T, limits Limits) *World {
-	w, err := NewWorld(program, t.TempDir(), 4, limits)
+func startWorld(t *testing.T, limits Limits) *World { return startWorldWith(t, limits, Settings{}) }
+
+// startWorldWith is startWorld with other settings than the usual ones.
+func startWorldWith(t *testing.T, limits Limits, settings Settings) *World {
+	w, err := NewWorld(program, t.TempDir(), 4, limits, settings)
 	require.NoError(t, err)
 	t.Cleanup(w.Close)
 	p, err := w.StartProcess()
