Attempts that come late over a cut link have a test; those given up for their key have a counter

TestNothingComesLateOverACutLink: the endpoint's kernel drops what comes on one connection for a second (a packet filter on its own socket, no privilege).

The counter repeats_expired counts attempts that were given up at the end of the repeat window.

awaitSent looks more seldom the longer it waits, at most 20 ms apart.

The warm-up now waits for the end of its attempts.

--- a/internal/sidecar/commit.go
+++ b/internal/sidecar/commit.go
@@ -119,7 +119,8 @@
 	defer c.mu.Unlock()
 	c.closed = true
 	for _, g := range c.running {
-		if g.committedAt.IsZero() || g.deliveryOfLastByte() <= lost {
+		switch g.deliveryOfLastByte() {
+		case unsent, lost:
 			g.cancelCause(errExchangeOver)
 		}
 	}
@@ -166,10 +167,10 @@
 		return
 	}
 	for _, g := range c.running {
-		switch {
-		case g.committedAt.IsZero() || g.deliveryOfLastByte() <= lost:
+		switch g.deliveryOfLastByte() {
+		case unsent, lost:
 			g.cancelCause(errRepeatWindowOver)
-		case g.deliveryOfLastByte() == unacknowledged:
+		case unacknowledged:
 			c.expireAfter(maxAcknowledgementDelay)
 		}
 	}
@@ -183,18 +184,21 @@
 	return a
 }
 
-// delivery is how far the last byte of a committed attempt has come, as far as the kernel knows.
+// delivery is how far the last byte of an attempt has come, as far as the kernel knows.
 type delivery int
 
 const (
-	unsent         delivery = iota // it has not left this machine: its endpoint has no room for it
+	unsent         delivery = iota // it has not left this machine: it is not committed, or its endpoint has no room for it
 	lost                           // it was sent, and should have been acknowledged by now; it will be sent again
 	unacknowledged                 // it was sent a moment ago
 	delivered
 )
 
-// deliveryOfLastByte asks the kernel about a committed attempt.
+// deliveryOfLastByte returns how far the leg's last byte has come. The caller holds the gate's mu.
 func (g *leg) deliveryOfLastByte() delivery {
+	if g.committedAt.IsZero() {
+		return unsent
+	}
 	queued, inFlight := g.committedOn.sendQueue()
 	switch {
 	case queued > 0:
--- a/internal/sidecar/commit_test.go
+++ b/internal/sidecar/commit_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/lynxjunction/lynxjunction/logic"
 )
@@ -46,9 +47,10 @@
 
 	mu       sync.Mutex
 	attempts int
-	open     int         // attempts that an endpoint is busy with
-	whole    []time.Time // when attempts had come whole, but for those that were turned away
-	effects  []time.Time // those of them that were not dropped as repeats
+	conns    map[string]*net.TCPConn // by the address of their other end
+	open     int                     // attempts that an endpoint is busy with
+	whole    []time.Time             // when attempts had come whole, but for those that were turned away
+	effects  []time.Time             // those of them that were not dropped as repeats
 }
 
 // newEndpoint adds an endpoint to the group. It takes in no more unread data than an endpoint at the far end of an Ethernet.
@@ -77,6 +79,12 @@
 // serve serves the attempts on one connection. Requests without a body only warm the sidecar up.
 func (k *keyGroup) serve(c *net.TCPConn) {
 	defer c.Close()
+	k.mu.Lock()
+	if k.conns == nil {
+		k.conns = map[string]*net.TCPConn{}
+	}
+	k.conns[c.RemoteAddr().String()] = c
+	k.mu.Unlock()
 	for reader := bufio.NewReaderSize(c, 4<<10); ; {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -157,11 +165,12 @@
 	}
 }
 
-// warmUp sends as many requests as hedges need.
+// warmUp sends as many requests as hedges need. None of their attempts is left, which would take the place of a hedge.
 func (r *testSidecar) warmUp() {
 	for n := range 30 {
 		require.Equal(r, http.StatusOK, r.status(requestText(fmt.Sprint("warm", n), "GET", "look", "")))
 	}
+	eventually(r.T, "all attempts have ended", func() bool { return r.openExchanges() == 0 })
 }
 
 // holdDialFor has the nth connection to an endpoint come up later.
@@ -243,6 +252,9 @@
 					assert.Equal(t, c.status, got.StatusCode)
 					assert.Less(t, answeredAt.Sub(began), timeout+500*time.Millisecond)
 					eventually(t, "the attempts have ended", func() bool { return group.idle() && r.openExchanges() == 0 })
+					if c.status == http.StatusBadGateway {
+						assert.EqualValues(t, 1, r.server.counters.repeatsExpired.Load(), "attempts that were given up for their key")
+					}
 					group.mu.Lock()
 					defer group.mu.Unlock()
 					assert.Len(t, group.effects, 1, "effects, of attempts that were whole at %v", group.whole)
@@ -326,3 +338,74 @@
 		}
 	}
 }
+
+// cutLink has nothing come to the endpoint on a connection for a time, as if the network between them were cut.
+func (k *keyGroup) cutLink(r *testSidecar, conn net.Conn, duration time.Duration) {
+	var far *net.TCPConn
+	eventually(r.T, "the endpoint has accepted the connection", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		far = k.conns[conn.LocalAddr().String()]
+		return far != nil
+	})
+	raw, err := far.SyscallConn()
+	require.NoError(r, err)
+	const returnInstruction = 0x06 // of a classic packet filter, with 0 bytes of the packet to keep
+	drop := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: returnInstruction}}
+	raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &drop)
+	})
+	require.NoError(r, err)
+	time.AfterFunc(duration, func() {
+		raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0) })
+	})
+}
+
+// Guards against a request that comes when a cut link is back, after its final answer or when its key is forgotten: the kernel
+// sends again what was not acknowledged, also on a connection that is closed.
+func TestNothingComesLateOverACutLink(t *testing.T) {
+	const (
+		memory   = 400 * time.Millisecond
+		timeout  = 800 * time.Millisecond
+		cut      = time.Second
+		resentBy = 2 * time.Second // after the cut begins; the kernel sends again after some 0.2, 0.6 and 1.4 s
+	)
+	for _, c := range []struct {
+		name, product string
+		plans         []attemptPlan // of the second attempt
+		status        int
+		whole         int // attempts
+	}{
+		{"single-use", "buy", nil, 504, 0},
+		{"hedge is served", "save", nil, 200, 1},
+		{"hedge fails", "save", []attemptPlan{{answer: failedResponse}}, 504, 1},
+	} {
+		for _, mayCancel := range []bool{true, false} {
+			t.Run(fmt.Sprint(c.name, " cancel ", mayCancel), func(t *testing.T) {
+				t.Parallel()
+				group := &keyGroup{memory: memory, plans: c.plans}
+				r := startSidecar(t, listOf(group.newEndpoint(t, 32<<10), group.newEndpoint(t, 32<<10)), withKeyMemory(memory, mayCancel))
+				r.warmUp()
+				dropAllIdle(r)
+				plain, dials := r.loop.upstream.dial, atomic.Int64{}
+				r.loop.upstream.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+					conn, err := plain(ctx, network, addr)
+					if err == nil && dials.Add(1) == 1 {
+						group.cutLink(r, conn, cut)
+					}
+					return conn, err
+				}
+				began := time.Now()
+				text := withTimeout(requestText("1", "POST", c.product, "Idempotency-Key: k\r\nContent-Length: 100\r\n"), timeout)
+				got, body := exchangeOn(r.dial(), text+strings.Repeat("x", 100))
+				require.NotNil(t, got, body)
+				assert.Equal(t, c.status, got.StatusCode)
+				assert.Less(t, time.Since(began), timeout+500*time.Millisecond)
+				time.Sleep(time.Until(began.Add(resentBy)))
+				group.mu.Lock()
+				defer group.mu.Unlock()
+				assert.Len(t, group.whole, c.whole, "attempts that came whole")
+			})
+		}
+	}
+}
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -55,6 +55,7 @@
 	streams           atomic.Int64                         // long answers forwarded
 	streamsBroken     atomic.Int64                         // long answers cut off by a failure of the endpoint
 	claimsLost        atomic.Int64                         // requests whose id another process of this sidecar has
+	repeatsExpired    atomic.Int64                         // legs given up since endpoints may have forgotten the idempotency key
 	answersStalled    atomic.Int64                         // answers that had begun and paused for the stall timeout
 	endpointsAvoided  atomic.Int64                         // endpoints that the module avoids at present
 	consoleCalls      atomic.Int64                         // calls of operators to the console
@@ -122,7 +123,7 @@
 		{"list_calls", &c.listCalls}, {"list_calls_beside_an_open_one", &c.parallelListCalls},
 		{"list_calls_refused", &c.listCallsRefused}, {"accept_errors", &c.acceptErrors}, {"lease_suspensions", &c.leaseSuspensions}, {"lease_suspended_ms", &c.leaseSuspendedMs},
 		{"list_outages", &c.listOutages}, {"list_outage_longest_ms", &c.longestOutageMs},
-		{"claims_lost", &c.claimsLost}, {"answers_stalled", &c.answersStalled}, {"endpoints_avoided", &c.endpointsAvoided}, {"console_calls", &c.consoleCalls},
+		{"claims_lost", &c.claimsLost}, {"repeats_expired", &c.repeatsExpired}, {"answers_stalled", &c.answersStalled}, {"endpoints_avoided", &c.endpointsAvoided}, {"console_calls", &c.consoleCalls},
 		{"messages_told", &c.messagesSent}, {"messages_heard", &c.messagesReceived}, {"messages_lost", &c.messagesLost},
 		{"reloads", &c.reloads}, {"reload_faults", &c.failedReloads},
 	} {
--- a/internal/sidecar/endpoint_conn.go
+++ b/internal/sidecar/endpoint_conn.go
@@ -25,7 +25,9 @@
 	maxInformationalAnswers = 5                               // 1xx answers before the final one
 	shortAnswerBytes        = 4 << 10                         // an answer up to this length is part of what its connection holds
 	answerBufferBytes       = 8 << 10                         // read buffer; an answer whose head does not fit is malformed
-	sendPollInterval        = time.Millisecond                // between two looks whether all has been sent
+	minSendPollInterval     = time.Millisecond                // between two looks whether all has been sent
+	maxSendPollInterval     = 20 * time.Millisecond           // the same
+	sendPollDivisor         = 8                               // what part of the wait so far the next look comes after
 	// defaultStallTimeout bounds the time between two parts of an answer if the settings have no connect timeout.
 	defaultStallTimeout = 250 * time.Millisecond
 )
@@ -143,16 +145,17 @@
 	}
 }
 
-// awaitSent returns once all that was written to the connection has been sent, or the error of check.
+// awaitSent returns once all that was written to the connection has been sent, or the error of check. The longer it waits, the
+// more seldom it looks.
 func (k *endpointConn) awaitSent(check func(*endpointConn) error) error {
-	for {
+	for began := time.Now(); ; {
 		if err := check(k); err != nil {
 			return err
 		}
 		if unsent, _ := k.sendQueue(); unsent == 0 {
 			return nil
 		}
-		time.Sleep(sendPollInterval)
+		time.Sleep(min(max(time.Since(began)/sendPollDivisor, minSendPollInterval), maxSendPollInterval))
 	}
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -9,6 +9,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -536,6 +537,9 @@
 			zap.Float64("took_ms", float64(l.now-g.sentAt)))
 	}
 	l.counters.legsByOutcome[outcome].Add(1)
+	if errors.Is(errorOf(e.fault), errRepeatWindowOver) {
+		l.counters.repeatsExpired.Add(1)
+	}
 	x.lastLegTimedOut = outcome == logic.TimedOut
 	if outcome == logic.Succeeded && !x.answered {
 		l.sendAnswer(x, answer{status: http.StatusOK, header: e.reply.header, body: e.reply.body})
